--- a/daemons/vanillascale.cpp
+++ b/daemons/vanillascale.cpp
@@ -2,8 +2,6 @@
 #include "RequestKeys.h"
 
 #include <boost/program_options.hpp>
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/reply.h>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -226,9 +224,9 @@
     return status;
   }
   try {
-    cxxtools::http::Client client(endpoint->mHost, endpoint->mPort);
-    auto json =
-      nlohmann::json::parse(client.get("/status", cxxtools::Seconds(1)).body());
+    StoreReply reply = BlockingConnection::Make(*endpoint)->Call(
+      { "GET", "/status", "", std::chrono::seconds(1), {} });
+    auto json = nlohmann::json::parse(reply.mResponse.mBody);
     status.mOffset = json.at("configOffset").get<LogOffset>();
     status.mIsReady = json.at("ready").get<bool>();
     status.mIsReached = true;
--- a/daemons/vanillascaled.cpp
+++ b/daemons/vanillascaled.cpp
@@ -1,11 +1,10 @@
 #include "EventNumbers.h"
 #include "NodeRuntime.h"
+#include "PlatformClient.h"
+#include "StoreAdapter.h"
 
 #include <csignal>
-#include <glog/logging.h>
 #include <iostream>
-#include <pthread.h>
-#include <thread>
 
 using namespace vanillascale;
 
@@ -28,18 +27,25 @@
   return variables;
 }
 
-/** Signals are taken by one thread that waits for them, so that no handler
- * interrupts the others; this has to come before any thread is started. */
-sigset_t
-BlockSignals()
+PlatformAdapter
+AdapterFor(const Settings& aSettings)
 {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return signals;
+  return aSettings.mPlatformApi == PlatformApi::Store
+           ? MakeStoreAdapter(aSettings.mEnvironment)
+           : MakeLogAdapter();
+}
+
+/** Reads the settings again: the file may have changed. */
+tl::expected<Settings, std::string>
+ReadAgain(const std::vector<std::string>& aArguments,
+          const std::map<std::string, std::string>& aEnvironment)
+{
+  auto line = ParseSettings(aArguments, aEnvironment);
+  if (!line) {
+    return tl::make_unexpected(line.error().front().mSetting + ": " +
+                               line.error().front().mAllowed);
+  }
+  return line->mSettings;
 }
 
 } // namespace
@@ -47,8 +53,9 @@
 int
 main(int argc, char** argv, char** aEnvironment)
 {
-  auto line =
-    ParseSettings({ argv + 1, argv + argc }, ReadEnvironment(aEnvironment));
+  std::vector<std::string> arguments{ argv + 1, argv + argc };
+  auto variables = ReadEnvironment(aEnvironment);
+  auto line = ParseSettings(arguments, variables);
   if (!line) {
     for (const SettingFault& it : line.error()) {
       std::cerr << "event=" << kEventSettingsRefused << " setting "
@@ -61,25 +68,16 @@
     std::cout << SettingsHelp();
     return kExitStopped;
   }
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(argv[0]);
-  sigset_t signals = BlockSignals();
-  auto runtime = NodeRuntime::Make(line->mSettings);
+  std::signal(SIGPIPE, SIG_IGN);
+  auto runtime =
+    NodeRuntime::Make(line->mSettings, AdapterFor(line->mSettings), [&] {
+      return ReadAgain(arguments, variables);
+    });
   if (!runtime) {
-    LOG(ERROR) << "event=" << kEventServerFailed << " " << runtime.error();
+    std::cerr << "event=" << kEventServerFailed << " " << runtime.error()
+              << "\n";
     return kExitAddress;
   }
-  std::thread([&signals, raw = runtime->get()] {
-    for (;;) {
-      int signal = 0;
-      sigwait(&signals, &signal);
-      raw->RequestShutdown();
-    }
-  }).detach();
-  (*runtime)->AwaitStop();
-  // The thread that waits for signals still holds the runtime: the process ends
-  // without taking it apart. All work is finished and all answers are sent.
-  google::FlushLogFiles(google::GLOG_INFO);
-  std::cerr.flush();
-  std::_Exit(kExitStopped);
+  (*runtime)->Run();
+  return kExitStopped;
 }
--- a/src/CallerServer.cpp
+++ b/src/CallerServer.cpp
@@ -1,18 +1,8 @@
 #include "CallerServer.h"
 
-#include "Hash.h"
 #include "ProxyVerdicts.h"
 
-#include <array>
-#include <charconv>
-#include <cstring>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/http/responder.h>
-#include <cxxtools/http/service.h>
-#include <cxxtools/net/tcpsocket.h>
-#include <poll.h>
-#include <strings.h>
+#include <boost/asio/post.hpp>
 
 namespace vanillascale {
 
@@ -20,369 +10,176 @@
 
 using std::chrono::milliseconds;
 
-constexpr const char* kOutcomeHeader = "Vanillascale-Outcome";
-constexpr const char* kReasonHeader = "Vanillascale-Reason";
-constexpr const char* kDeadlineHeader = "Vanillascale-Deadline-Ms";
-constexpr const char* kAccountHeader = "Vanillascale-Account";
-constexpr const char* kFirstAttemptHeader = "Vanillascale-First-Attempt";
-constexpr const char* kRequestHeader = "Vanillascale-Request";
-constexpr const char* kKeyHeader = "Idempotency-Key";
-
-bool
-IsForwarded(const char* aName)
-{
-  static const char* const sKept[] = { "Connection",
-                                       "Keep-Alive",
-                                       "Transfer-Encoding",
-                                       "Content-Length",
-                                       "Host",
-                                       "Vanillascale-Request",
-                                       "Vanillascale-Deadline-Ms",
-                                       "Expect" };
-  for (const char* it : sKept) {
-    if (strcasecmp(it, aName) == 0) {
-      return false;
-    }
-  }
-  return true;
-}
-
-std::string
-HeaderOf(const cxxtools::http::Request& aRequest, const char* aName)
-{
-  const char* value = aRequest.getHeader(aName);
-  return value ? value : "";
-}
-
-std::optional<Duration>
-DeadlineOf(const cxxtools::http::Request& aRequest)
-{
-  const char* text = aRequest.getHeader(kDeadlineHeader);
-  if (!text) {
-    return std::nullopt;
-  }
-  std::int64_t ms = 0;
-  const char* end = text + std::strlen(text);
-  auto [stop, ec] = std::from_chars(text, end, ms);
-  bool isNumber = ec == std::errc() && stop == end && ms > 0;
-  // The core refuses what is not above zero, and says so to the caller.
-  constexpr std::int64_t kMostMs = 86400000;
-  return isNumber ? milliseconds(std::min(ms, kMostMs)) : milliseconds(0);
-}
+constexpr Duration kCancelTimeout = milliseconds(500);
 
 WallTime
-Now()
+WallNow()
 {
   return std::chrono::time_point_cast<milliseconds>(
     std::chrono::system_clock::now());
 }
 
-CallerRequest
-Describe(const cxxtools::http::Request& aRequest,
-         RequestId aId,
-         const std::string& aBody)
+Verdict
+VerdictFor(HttpProgress aProgress)
 {
-  CallerRequest event;
-  event.mRequest = aId;
-  event.mMethod = aRequest.method();
-  event.mPath = aRequest.url();
-  event.mAccount = HeaderOf(aRequest, kAccountHeader);
-  event.mKey = HeaderOf(aRequest, kKeyHeader);
-  event.mFingerprint =
-    Hash64(event.mMethod + " " + event.mPath + "?" + aRequest.qparams(),
-           Hash64(aBody));
-  event.mDeadline = DeadlineOf(aRequest);
-  event.mIsFirstAttempt = HeaderOf(aRequest, kFirstAttemptHeader) == "true";
-  event.mWallTime = Now();
-  return event;
-}
-
-TargetRequest
-Forward(const cxxtools::http::Request& aRequest,
-        const std::string& aBody,
-        const std::string& aName,
-        Duration aTimeout)
-{
-  TargetRequest request;
-  request.mMethod = aRequest.method();
-  request.mPath = aRequest.url();
-  request.mQuery = aRequest.qparams();
-  request.mBody = aBody;
-  for (const auto& it : aRequest.header()) {
-    if (IsForwarded(it.first)) {
-      request.mHeaders.push_back({ it.first, it.second });
-    }
+  switch (aProgress) {
+    case HttpProgress::HeadTooLarge:
+      return { kStatusHeadTooLarge, RunOutcome::NotRun, kReasonHeadTooLarge };
+    case HttpProgress::BodyTooLarge:
+      return { kStatusTooLarge, RunOutcome::NotRun, kReasonBodyTooLarge };
+    case HttpProgress::Incomplete:
+      return { kStatusRequestTimeout, RunOutcome::NotRun, kReasonTooSlow };
+    case HttpProgress::Malformed:
+    case HttpProgress::Complete:
+      return { kStatusBadRequest, RunOutcome::NotRun, kReasonMalformed };
   }
-  request.mHeaders.push_back({ kRequestHeader, aName });
-  auto ms = std::chrono::duration_cast<milliseconds>(aTimeout);
-  request.mHeaders.push_back({ kDeadlineHeader, std::to_string(ms.count()) });
-  return request;
+  return { kStatusBadRequest, RunOutcome::NotRun, kReasonMalformed };
 }
 
-void
-WriteVerdict(std::ostream& aOut,
-             cxxtools::http::Reply& aReply,
-             const Verdict& aVerdict)
-{
-  std::string outcome = OutcomeText(aVerdict.mOutcome);
-  aReply.httpReturn(aVerdict.mStatus, aVerdict.mReason);
-  aReply.setHeader("Content-Type", "application/json");
-  aReply.setHeader(kOutcomeHeader, outcome.c_str());
-  aReply.setHeader(kReasonHeader, aVerdict.mReason);
-  if (aVerdict.mStatus == kStatusUnavailable ||
-      aVerdict.mStatus == kStatusTooMany) {
-    aReply.setHeader("Retry-After", "1");
-  }
-  aOut << R"({"outcome":")" << outcome << R"(","reason":")" << aVerdict.mReason
-       << "\"}";
-}
+} // namespace
 
-void
-WriteAnswer(std::ostream& aOut,
-            cxxtools::http::Reply& aReply,
-            const AnswerCaller& aAnswer)
+CallerServer::CallerServer(boost::asio::io_context& aLoop,
+                           const PlatformAdapter& aAdapter,
+                           CallerHooks aHooks)
+  : mLoop(aLoop)
+  , mAdapter(aAdapter)
+  , mHooks(std::move(aHooks))
+  , mTargets(TargetClient::Make(aLoop, aAdapter.mTargets))
 {
-  if (!aAnswer.mAnswer) {
-    WriteVerdict(aOut, aReply, aAnswer.mVerdict);
-    return;
-  }
-  const Answer& answer = *aAnswer.mAnswer;
-  aReply.httpReturn(answer.mStatus, "");
-  for (const Header& it : answer.mHeaders) {
-    aReply.setHeader(it.mName.c_str(), it.mValue.c_str());
-  }
-  aReply.setHeader(kOutcomeHeader, OutcomeText(aAnswer.mVerdict.mOutcome));
-  aReply.setHeader(kReasonHeader, aAnswer.mVerdict.mReason);
-  aOut.write(answer.mBody.data(),
-             static_cast<std::streamsize>(answer.mBody.size()));
 }
 
-class CallerResponder : public cxxtools::http::Responder
+tl::expected<std::unique_ptr<CallerServer>, std::string>
+CallerServer::Make(boost::asio::io_context& aLoop,
+                   const Settings& aSettings,
+                   const PlatformAdapter& aAdapter,
+                   CallerHooks aHooks)
 {
-public:
-  CallerResponder(cxxtools::http::Service& aService,
-                  OpenCallers& aCallers,
-                  TargetClient& aTargets,
-                  const CallerHooks& aHooks)
-    : Responder(aService)
-    , mCallers(aCallers)
-    , mTargets(aTargets)
-    , mHooks(aHooks)
-  {
+  std::unique_ptr<CallerServer> server(
+    new CallerServer(aLoop, aAdapter, std::move(aHooks)));
+  server->mLimits.mMessage.mBodyBytes = aSettings.mMaxBodyBytes;
+  server->mLimits.mConnections = aSettings.mMaxCallers;
+  auto http = HttpServer::Make(
+    aLoop, aSettings.mListen, server->mLimits, server->ServerHooks());
+  if (!http) {
+    return tl::make_unexpected(http.error());
   }
+  server->mServer = std::move(*http);
+  return server;
+}
 
-  void beginRequest(cxxtools::net::TcpSocket& aSocket,
-                    std::istream& aIn,
-                    cxxtools::http::Request& aRequest) override
-  {
-    Responder::beginRequest(aSocket, aIn, aRequest);
-    mSocket = aSocket.getFd();
-    mBody.clear();
-    mIsTooLarge = false;
-  }
-
-  std::size_t readBody(std::istream& aIn) override
-  {
-    std::array<char, kReadBytes> buf{};
-    std::size_t total = 0;
-    while (aIn.rdbuf()->in_avail() > 0) {
-      auto available = static_cast<std::size_t>(aIn.rdbuf()->in_avail());
-      std::size_t n = std::min(available, buf.size());
-      aIn.read(buf.data(), static_cast<std::streamsize>(n));
-      total += n;
-      mIsTooLarge = mIsTooLarge || mBody.size() + n > mHooks.mMaxBodyBytes;
-      if (!mIsTooLarge) {
-        mBody.append(buf.data(), n);
-      }
-    }
-    return total;
-  }
-
-  void reply(std::ostream& aOut,
-             cxxtools::http::Request& aRequest,
-             cxxtools::http::Reply& aReply) override
-  {
-    if (mIsTooLarge) {
-      WriteVerdict(
-        aOut,
-        aReply,
-        { kStatusTooLarge, RunOutcome::NotRun, kReasonBodyTooLarge });
-      return;
-    }
-    RequestId id = mCallers.Open(mSocket);
-    mHooks.mPost(Describe(aRequest, id, mBody));
-    for (;;) {
-      CallerCommand command = mCallers.Await(id);
-      if (auto* answer = std::get_if<AnswerCaller>(&command)) {
-        mCallers.Close(id);
-        WriteAnswer(aOut, aReply, *answer);
-        return;
-      }
-      Send(aRequest, std::get<SendToTarget>(command));
-    }
-  }
-
-private:
-  void Send(const cxxtools::http::Request& aRequest,
-            const SendToTarget& aCommand)
-  {
-    auto now = std::chrono::steady_clock::now().time_since_epoch();
-    Duration timeout = aCommand.mDeadlineAt.time_since_epoch() -
-                       std::chrono::duration_cast<Duration>(now);
-    TargetEnded ended;
-    ended.mRequest = aCommand.mRequest;
-    ended.mOutcome = TargetOutcome::Unused;
-    // The thread may have been paused since the core decided.
-    if (timeout > Duration(0)) {
-      std::string name = mHooks.mNameRequest(aCommand.mRequest);
-      mCallers.NoteTarget(aCommand.mRequest, aCommand.mTarget);
-      TargetResult result =
-        mTargets.Send(aCommand.mTarget,
-                      Forward(aRequest, mBody, name, timeout),
-                      timeout,
-                      aCommand.mIsIdempotent);
-      ended.mOutcome = result.mOutcome;
-      ended.mAnswer = std::move(result.mAnswer);
-    }
-    mHooks.mPost(std::move(ended));
-  }
-
-  static constexpr std::size_t kReadBytes = 4096;
-
-  OpenCallers& mCallers;
-  TargetClient& mTargets;
-  const CallerHooks& mHooks;
-  int mSocket = -1;
-  std::string mBody;
-  bool mIsTooLarge = false;
-};
-
-class CallerService : public cxxtools::http::Service
+HttpServerHooks
+CallerServer::ServerHooks()
 {
-public:
-  CallerService(OpenCallers& aCallers,
-                TargetClient& aTargets,
-                CallerHooks aHooks)
-    : mCallers(aCallers)
-    , mTargets(aTargets)
-    , mHooks(std::move(aHooks))
-  {
-  }
-
-protected:
-  cxxtools::http::Responder* createResponder(
-    const cxxtools::http::Request& /*aRequest*/) override
-  {
-    mCallers.NoteBegun();
-    return new CallerResponder(*this, mCallers, mTargets, mHooks);
-  }
-  void releaseResponder(cxxtools::http::Responder* aResponder) override
-  {
-    delete aResponder;
-    mCallers.NoteDone();
-  }
-
-private:
-  OpenCallers& mCallers;
-  TargetClient& mTargets;
-  CallerHooks mHooks;
-};
-
-} // namespace
+  HttpServerHooks hooks;
+  hooks.mReceive = [this](RequestId aId,
+                          std::shared_ptr<const HttpRequest> aMessage) {
+    Receive(aId, std::move(aMessage));
+  };
+  hooks.mGone = [this](RequestId aId) { mHooks.mPost(CallerGone{ aId }); };
+  hooks.mRefuse = [this](HttpProgress aProgress) { return Refuse(aProgress); };
+  return hooks;
+}
 
-RequestId
-OpenCallers::Open(int aSocket)
+void
+CallerServer::Receive(RequestId aId,
+                      std::shared_ptr<const HttpRequest> aMessage)
 {
-  std::lock_guard<std::mutex> lock(mMutex);
-  auto slot = std::make_unique<Slot>();
-  slot->mSocket = aSocket;
-  mSlots.emplace(++mLast, std::move(slot));
-  return mLast;
+  CallerRequest event =
+    DescribeRequest(mAdapter.mCallers, aId, *aMessage, WallNow());
+  mOpen[aId] = { std::move(aMessage), event.mName, TargetId() };
+  mHooks.mPost(std::move(event));
 }
 
-CallerCommand
-OpenCallers::Await(RequestId aRequest)
+HttpResponse
+CallerServer::Refuse(HttpProgress aProgress) const
 {
-  std::unique_lock<std::mutex> lock(mMutex);
-  Slot& slot = *mSlots.at(aRequest);
-  slot.mWakeUp.wait(lock, [&] { return !slot.mCommands.empty(); });
-  CallerCommand command = std::move(slot.mCommands.front());
-  slot.mCommands.pop_front();
-  return command;
+  AnswerCaller answer;
+  answer.mVerdict = VerdictFor(aProgress);
+  HttpResponse response = ComposeAnswer(mAdapter.mCallers, answer, "");
+  response.mKeepsAlive = false;
+  return response;
 }
 
 void
-OpenCallers::Tell(RequestId aRequest, CallerCommand aCommand)
-{
-  std::lock_guard<std::mutex> lock(mMutex);
-  auto it = mSlots.find(aRequest);
-  if (it == mSlots.end()) {
+CallerServer::Run(const SendToTarget& aEffect)
+{
+  RequestId id = aEffect.mRequest;
+  Duration left = mHooks.mTimeUntil(aEffect.mDeadlineAt);
+  auto it = mOpen.find(id);
+  // The process may have been paused since the core decided.
+  if (it == mOpen.end() || left <= Duration(0)) {
+    boost::asio::post(mLoop, [this, id] {
+      mHooks.mPost(TargetEnded{ id, TargetOutcome::Unused, nullptr });
+    });
     return;
   }
-  it->second->mCommands.push_back(std::move(aCommand));
-  it->second->mWakeUp.notify_one();
+  it->second.mTarget = aEffect.mTarget;
+  TargetSend send;
+  send.mRequest = id;
+  send.mTarget = aEffect.mTarget;
+  send.mRequestName = it->second.mName;
+  send.mTimeout = left;
+  send.mIsIdempotent = aEffect.mIsIdempotent;
+  send.mMessage =
+    ForwardRequest(mAdapter.mCallers,
+                   mAdapter.mTargets,
+                   *it->second.mMessage,
+                   { aEffect.mTarget, mHooks.mNameRequest(id), left });
+  mTargets->Send(std::move(send), [this, id](const TargetResult& aResult) {
+    mHooks.mPost(TargetEnded{ id, aResult.mOutcome, aResult.mAnswer });
+  });
 }
 
 void
-OpenCallers::Close(RequestId aRequest)
+CallerServer::Run(const CancelAtTarget& aEffect)
 {
-  std::lock_guard<std::mutex> lock(mMutex);
-  mSlots.erase(aRequest);
-}
-
-std::vector<RequestId>
-OpenCallers::FindGone()
-{
-  std::lock_guard<std::mutex> lock(mMutex);
-  std::vector<pollfd> sockets;
-  std::vector<RequestId> ids;
-  for (const auto& [id, slot] : mSlots) {
-    if (!slot->mIsGone && slot->mSocket >= 0) {
-      sockets.push_back({ slot->mSocket, POLLRDHUP, 0 });
-      ids.push_back(id);
-    }
+  auto it = mOpen.find(aEffect.mRequest);
+  if (it == mOpen.end() || it->second.mTarget.mValue.empty()) {
+    return;
   }
-  std::vector<RequestId> gone;
-  if (sockets.empty() || poll(sockets.data(), sockets.size(), 0) <= 0) {
-    return gone;
+  if (mAdapter.mTargets.mCancelsByClose) {
+    mTargets->Cancel(aEffect.mRequest);
+    return;
   }
-  for (std::size_t i = 0; i < ids.size(); ++i) {
-    if ((sockets[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) {
-      mSlots.at(ids[i])->mIsGone = true;
-      gone.push_back(ids[i]);
-    }
+  auto endpoint = ParseEndpoint(AddressOf(it->second.mTarget));
+  if (!endpoint) {
+    return;
   }
-  return gone;
+  HttpRequest message;
+  message.mMethod = "POST";
+  message.mTarget = "/cancel?request=" + mHooks.mNameRequest(aEffect.mRequest);
+  message.mHeaders = { { "Host", AddressOf(it->second.mTarget) } };
+  message.mKeepsAlive = false;
+  ExchangeRequest request;
+  request.mTo = *endpoint;
+  request.mBytes = Serialize(message);
+  request.mConnectTimeout = kCancelTimeout;
+  request.mTimeout = kCancelTimeout;
+  // Whether it arrives shows in how the request itself ends.
+  HttpExchange::Start(
+    mLoop, std::move(request), nullptr, [](const ExchangeResult&) {});
 }
 
 void
-OpenCallers::NoteTarget(RequestId aRequest, const TargetId& aTarget)
-{
-  std::lock_guard<std::mutex> lock(mMutex);
-  mSlots.at(aRequest)->mTarget = aTarget;
-}
-
-TargetId
-OpenCallers::TargetOf(RequestId aRequest)
-{
-  std::lock_guard<std::mutex> lock(mMutex);
-  auto it = mSlots.find(aRequest);
-  return it == mSlots.end() ? TargetId() : it->second->mTarget;
-}
-
-std::size_t
-OpenCallers::Count()
+CallerServer::Run(AnswerCaller& aEffect)
 {
-  std::lock_guard<std::mutex> lock(mMutex);
-  return mSlots.size();
+  auto it = mOpen.find(aEffect.mRequest);
+  if (it == mOpen.end()) {
+    return;
+  }
+  std::string name = std::move(it->second.mName);
+  mOpen.erase(it);
+  mServer->Answer(aEffect.mRequest,
+                  ComposeAnswer(mAdapter.mCallers, aEffect, name));
 }
 
-std::unique_ptr<cxxtools::http::Service>
-MakeCallerService(OpenCallers& aCallers,
-                  TargetClient& aTargets,
-                  CallerHooks aHooks)
+void
+CallerServer::SetLimits(const CallerLimits& aLimits)
 {
-  return std::make_unique<CallerService>(aCallers, aTargets, std::move(aHooks));
+  mLimits.mMessage = { aLimits.mHeadBytes, aLimits.mBodyBytes };
+  mLimits.mRequestTime = aLimits.mRequestTime;
+  mLimits.mIdleTime = aLimits.mIdleTime;
+  mServer->SetLimits(mLimits);
 }
 
 } // namespace vanillascale
--- a/src/CallerServer.h
+++ b/src/CallerServer.h
@@ -1,99 +1,88 @@
 #ifndef VANILLASCALE_CALLERSERVER_H
 #define VANILLASCALE_CALLERSERVER_H
 
+#include "HttpServer.h"
 #include "NodeEvents.h"
-#include "Settings.h"
+#include "PlatformPort.h"
 #include "TargetClient.h"
 
-#include <atomic>
-#include <condition_variable>
-#include <deque>
 #include <functional>
 #include <memory>
-#include <mutex>
-#include <set>
 #include <unordered_map>
 
-namespace cxxtools::http {
-class Service;
-}
-
 namespace vanillascale {
 
-/** What a request's thread is told to do next. */
-using CallerCommand = std::variant<SendToTarget, AnswerCaller>;
+/** What the callers' side needs of the runtime. */
+struct CallerHooks
+{
+  /** Hands an event to the core. */
+  std::function<void(Event)> mPost;
+  /** A text that is different for each request of the fleet, for targets. */
+  std::function<std::string(RequestId)> mNameRequest;
+  /** The time left until an instant of the core's clock. */
+  std::function<Duration(TimePoint)> mTimeUntil;
+};
 
-/** The requests that callers have open on this node. Each has a thread of the
- * HTTP server, which carries out what the core decides for it. Safe to call
- * from any thread. */
-class OpenCallers
+/** Takes callers' requests, sends them to targets and answers them, as the core
+ * decides. The loop's thread only. */
+class CallerServer
 {
 public:
-  /** Opens a request; its commands can be waited for from now on. */
-  RequestId Open(int aSocket);
-
-  /** Waits for the next command. Only the request's own thread may call it. */
-  CallerCommand Await(RequestId aRequest);
-
-  /** Hands a command to a request's thread; ignored if it is closed. */
-  void Tell(RequestId aRequest, CallerCommand aCommand);
-
-  /** Closes a request. Its socket is not looked at any more. */
-  void Close(RequestId aRequest);
-
-  /** Requests whose callers have closed their connection, each once. */
-  std::vector<RequestId> FindGone();
-
-  /** Notes where a request was sent, so that it can be cancelled there. */
-  void NoteTarget(RequestId aRequest, const TargetId& aTarget);
-
-  /** Where a request was sent last; empty if nowhere. */
-  TargetId TargetOf(RequestId aRequest);
-
-  /** The number of open requests. */
-  std::size_t Count();
-
-  /** Notes that the HTTP server has begun, or is done with, a request. It is
-   * done when it has handed the answer to the connection. */
-  void NoteBegun() { ++mInServer; }
-  void NoteDone() { --mInServer; }
-
-  /** The number of requests that the HTTP server is not done with. */
-  std::size_t CountInServer() const { return mInServer; }
+  /** Listens at the settings' address. aAdapter must outlive the server; the
+   * error says why it can't listen. */
+  static tl::expected<std::unique_ptr<CallerServer>, std::string> Make(
+    boost::asio::io_context& aLoop,
+    const Settings& aSettings,
+    const PlatformAdapter& aAdapter,
+    CallerHooks aHooks);
+
+  /** Carry out the core's decisions on a request. */
+  void Run(const SendToTarget& aEffect);
+  void Run(const CancelAtTarget& aEffect);
+  void Run(AnswerCaller& aEffect);
+
+  /** Takes over the limits of the document in force. */
+  void SetLimits(const CallerLimits& aLimits);
+
+  /** From now on each answer is its connection's last. */
+  void BeginClosing() { mServer->BeginClosing(); }
+  /** Closes connections without a request that were idle for a while. */
+  void CloseIdleCallers(Duration aIdle) { mServer->CloseIdle(aIdle); }
+  /** Closes connections to targets that are kept for too long. */
+  void CloseIdleTargets() { mTargets->CloseIdle(); }
+
+  /** Requests that callers have open. */
+  std::size_t CountOpen() const { return mOpen.size(); }
+  /** Requests whose answers are not written yet. */
+  std::size_t CountUnwritten() const { return mServer->CountRequests(); }
+  std::size_t CountConnections() const { return mServer->CountConnections(); }
+  const TargetClient& Targets() const { return *mTargets; }
 
 private:
-  struct Slot
+  struct OpenRequest
   {
-    std::condition_variable mWakeUp;
-    std::deque<CallerCommand> mCommands;
-    int mSocket = -1;
-    bool mIsGone = false;
+    std::shared_ptr<const HttpRequest> mMessage;
+    /** The caller's own id of the request. */
+    std::string mName;
     TargetId mTarget;
   };
 
-  std::mutex mMutex;
-  std::unordered_map<RequestId, std::unique_ptr<Slot>> mSlots;
-  RequestId mLast = 0;
-  std::atomic<std::size_t> mInServer{ 0 };
-};
-
-/** What the HTTP side needs of the runtime. */
-struct CallerHooks
-{
-  /** Hands an event to the core. Any thread. */
-  std::function<void(Event)> mPost;
-  /** A text that is different for each request of the fleet, for targets. */
-  std::function<std::string(RequestId)> mNameRequest;
-  std::size_t mMaxBodyBytes = 0;
+  CallerServer(boost::asio::io_context& aLoop,
+               const PlatformAdapter& aAdapter,
+               CallerHooks aHooks);
+  HttpServerHooks ServerHooks();
+  void Receive(RequestId aId, std::shared_ptr<const HttpRequest> aMessage);
+  HttpResponse Refuse(HttpProgress aProgress) const;
+
+  boost::asio::io_context& mLoop;
+  const PlatformAdapter& mAdapter;
+  CallerHooks mHooks;
+  std::unique_ptr<TargetClient> mTargets;
+  HttpServerLimits mLimits;
+  std::unique_ptr<HttpServer> mServer;
+  std::unordered_map<RequestId, OpenRequest> mOpen;
 };
 
-/** Makes the HTTP service that takes callers' requests. The arguments must
- * outlive it. */
-std::unique_ptr<cxxtools::http::Service>
-MakeCallerService(OpenCallers& aCallers,
-                  TargetClient& aTargets,
-                  CallerHooks aHooks);
-
 } // namespace vanillascale
 
 #endif
--- a/src/ConfigFold.cpp
+++ b/src/ConfigFold.cpp
@@ -370,12 +370,30 @@
 const Route*
 FindRoute(const ConfigState& aState,
           std::string_view aMethod,
-          std::string_view aPath)
+          std::string_view aPath,
+          std::string_view aHost)
 {
-  const RouteName* name = aState.mRoutes.Find(aMethod, aPath);
+  const RouteName* name = aState.mRoutes.Find(aMethod, aPath, aHost);
   return name ? &aState.mDocument.mRoutes.at(*name) : nullptr;
 }
 
+bool
+ReplaceDocument(ConfigState& aState, Document aDocument, LogOffset aOffset)
+{
+  const Document& current = aState.mDocument;
+  bool isFirst = current.mEnvironment.empty();
+  bool isNewer = isFirst || (aOffset > aState.mOffset &&
+                             aDocument.mRevision > current.mRevision &&
+                             aDocument.mEnvironment == current.mEnvironment);
+  if (!isNewer) {
+    return false;
+  }
+  aState.mDocument = std::move(aDocument);
+  aState.mRoutes = RouteTable::Make(aState.mDocument);
+  aState.mOffset = aOffset;
+  return true;
+}
+
 ChangeVerdict
 FoldRecord(ConfigState& aState, const LogRecord& aRecord)
 {
--- a/src/ConfigFold.h
+++ b/src/ConfigFold.h
@@ -102,7 +102,14 @@
 const Route*
 FindRoute(const ConfigState& aState,
           std::string_view aMethod,
-          std::string_view aPath);
+          std::string_view aPath,
+          std::string_view aHost = {});
+
+/** Puts a whole document in force that was published at an offset. Returns
+ * false, and changes nothing, where the offset or the document's revision is
+ * not above the one in force, or the document is of another environment. */
+bool
+ReplaceDocument(ConfigState& aState, Document aDocument, LogOffset aOffset);
 
 /** Writes a change as the payload of a log record. Pure; any thread. */
 std::string
--- /dev/null
+++ b/src/Dialects.cpp
@@ -0,0 +1,226 @@
+#include "Dialects.h"
+
+#include "Hash.h"
+#include "ProxyVerdicts.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace vanillascale {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned kStatusMisdirected = 421;
+constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kFirstSuccess = 200;
+constexpr unsigned kFirstRedirect = 300;
+/** A day; nobody waits longer, and larger numbers could overflow. */
+constexpr std::int64_t kMostDeadlineMs = 86400000;
+
+std::string
+ValueOf(const HttpRequest& aRequest, const std::string& aName)
+{
+  const std::string* value =
+    aName.empty() ? nullptr : FindHeader(aRequest.mHeaders, aName);
+  return value ? *value : "";
+}
+
+std::optional<Duration>
+DeadlineOf(const CallerDialect& aDialect, const HttpRequest& aRequest)
+{
+  const std::string* text = FindHeader(aRequest.mHeaders, aDialect.mDeadlineMs);
+  if (!text) {
+    return std::nullopt;
+  }
+  std::int64_t ms = 0;
+  const char* end = text->data() + text->size();
+  auto [stop, ec] = std::from_chars(text->data(), end, ms);
+  bool isTooLarge = ec == std::errc::result_out_of_range;
+  bool isNumber = ec == std::errc() && stop == end && ms > 0;
+  if (isTooLarge) {
+    return milliseconds(kMostDeadlineMs);
+  }
+  // The core refuses what is not above zero, and says so to the caller.
+  return milliseconds(isNumber ? std::min(ms, kMostDeadlineMs) : 0);
+}
+
+bool
+IsSuccess(unsigned aStatus)
+{
+  return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
+}
+
+bool
+StatesNotRun(const TargetDialect& aDialect, const HttpResponse& aResponse)
+{
+  if (aDialect.mHasMisdirected && aResponse.mStatus == kStatusMisdirected) {
+    return true;
+  }
+  const std::string* value = FindHeader(aResponse.mHeaders, aDialect.mNotRun);
+  return value &&
+         (aDialect.mNotRunValue.empty() || *value == aDialect.mNotRunValue);
+}
+
+std::string
+FormatRetryAfter(const CallerDialect& aDialect, Duration aTime)
+{
+  if (!aDialect.mHasFractions) {
+    auto seconds = std::chrono::ceil<std::chrono::seconds>(aTime);
+    return std::to_string(std::max<std::int64_t>(seconds.count(), 1));
+  }
+  char buf[32];
+  std::snprintf(
+    buf, sizeof(buf), "%.3f", std::chrono::duration<double>(aTime).count());
+  return buf;
+}
+
+} // namespace
+
+CallerRequest
+DescribeRequest(const CallerDialect& aDialect,
+                RequestId aId,
+                const HttpRequest& aRequest,
+                WallTime aNow)
+{
+  CallerRequest event;
+  event.mRequest = aId;
+  event.mMethod = aRequest.mMethod;
+  event.mPath = aRequest.mTarget;
+  event.mHost = aDialect.mHasHosts ? ValueOf(aRequest, "Host") : "";
+  event.mName = ValueOf(aRequest, aDialect.mRequestId);
+  event.mAccount = ValueOf(aRequest, aDialect.mAccount);
+  event.mKey = ValueOf(aRequest, aDialect.mKey);
+  event.mFingerprint =
+    Hash64(aRequest.mMethod + " " + event.mHost + aRequest.mTarget,
+           Hash64(aRequest.mBody));
+  event.mDeadline = DeadlineOf(aDialect, aRequest);
+  event.mIsFirstAttempt = ValueOf(aRequest, aDialect.mFirstAttempt) == "true";
+  event.mWallTime = aNow;
+  return event;
+}
+
+HttpRequest
+ForwardRequest(const CallerDialect& aCaller,
+               const TargetDialect& aTarget,
+               const HttpRequest& aRequest,
+               const Forwarding& aForwarding)
+{
+  HttpRequest request;
+  request.mMethod = aRequest.mMethod;
+  request.mTarget = aRequest.mTarget;
+  request.mBody = aRequest.mBody;
+  for (const Header& it : aRequest.mHeaders) {
+    bool isReplaced = IsSameName(it.mName, aCaller.mDeadlineMs) ||
+                      IsSameName(it.mName, aTarget.mDeadlineMs) ||
+                      IsSameName(it.mName, aTarget.mRequestName) ||
+                      IsSameName(it.mName, aTarget.mInstance) ||
+                      (!aTarget.mKeepsHost && IsSameName(it.mName, "Host"));
+    if (!isReplaced && !IsHopByHop(aRequest.mHeaders, it.mName)) {
+      request.mHeaders.push_back(it);
+    }
+  }
+  auto add = [&](const std::string& aName, std::string aValue) {
+    if (!aName.empty()) {
+      request.mHeaders.push_back({ aName, std::move(aValue) });
+    }
+  };
+  if (!aTarget.mKeepsHost) {
+    add("Host", AddressOf(aForwarding.mTarget));
+  }
+  add(aTarget.mRequestName, aForwarding.mName);
+  std::string instance = InstanceOf(aForwarding.mTarget);
+  if (!instance.empty()) {
+    add(aTarget.mInstance, std::move(instance));
+  }
+  auto ms = std::chrono::duration_cast<milliseconds>(aForwarding.mTimeout);
+  add(aTarget.mDeadlineMs,
+      std::to_string(std::max<std::int64_t>(ms.count(), 1)));
+  return request;
+}
+
+TargetResult
+InterpretAnswer(const TargetDialect& aDialect, HttpResponse aResponse)
+{
+  if (StatesNotRun(aDialect, aResponse)) {
+    bool isDraining = !aDialect.mDraining.empty() &&
+                      FindHeader(aResponse.mHeaders, aDialect.mDraining);
+    bool isOther =
+      aDialect.mHasMisdirected && aResponse.mStatus == kStatusMisdirected;
+    return { isDraining || isOther ? TargetOutcome::Draining
+                                   : TargetOutcome::Shed,
+             nullptr };
+  }
+  bool isSigned = aDialect.mSignature.empty() ||
+                  FindHeader(aResponse.mHeaders, aDialect.mSignature);
+  bool isEncoded = !aDialect.mSignature.empty() &&
+                   FindHeader(aResponse.mHeaders, "Content-Encoding");
+  if (IsSuccess(aResponse.mStatus) && (!isSigned || isEncoded)) {
+    return { TargetOutcome::Broken, nullptr };
+  }
+  auto answer = std::make_shared<Answer>();
+  answer->mStatus = aResponse.mStatus;
+  for (const Header& it : aResponse.mHeaders) {
+    if (!IsHopByHop(aResponse.mHeaders, it.mName)) {
+      answer->mHeaders.push_back(it);
+    }
+  }
+  answer->mBody = std::move(aResponse.mBody);
+  bool isError = answer->mStatus >= kFirstServerError;
+  return { isError ? TargetOutcome::ServerError : TargetOutcome::Answered,
+           std::move(answer) };
+}
+
+bool
+IsAnswerTo(const TargetDialect& aDialect,
+           const std::string& aRequestId,
+           const HttpResponse& aResponse)
+{
+  if (aDialect.mRequestId.empty()) {
+    return true;
+  }
+  const std::string* id = FindHeader(aResponse.mHeaders, aDialect.mRequestId);
+  return !id || *id == aRequestId;
+}
+
+HttpResponse
+ComposeAnswer(const CallerDialect& aDialect,
+              const AnswerCaller& aAnswer,
+              const std::string& aRequestId)
+{
+  HttpResponse response;
+  auto add = [&](const std::string& aName, std::string aValue) {
+    if (!aName.empty()) {
+      response.mHeaders.push_back({ aName, std::move(aValue) });
+    }
+  };
+  const Verdict& verdict = aAnswer.mVerdict;
+  std::string outcome = OutcomeText(verdict.mOutcome);
+  if (aAnswer.mAnswer) {
+    response.mStatus = aAnswer.mAnswer->mStatus;
+    response.mHeaders = aAnswer.mAnswer->mHeaders;
+    response.mBody = aAnswer.mAnswer->mBody;
+    add(aDialect.mOutcome, std::move(outcome));
+    add(aDialect.mReason, verdict.mReason);
+    return response;
+  }
+  response.mStatus = verdict.mStatus;
+  if (!aRequestId.empty()) {
+    add(aDialect.mRequestId, aRequestId);
+  }
+  add("Content-Type", "application/json");
+  add(aDialect.mOutcome, outcome);
+  add(aDialect.mReason, verdict.mReason);
+  bool mayReturn =
+    verdict.mStatus == kStatusUnavailable || verdict.mStatus == kStatusTooMany;
+  if (mayReturn) {
+    add("Retry-After", FormatRetryAfter(aDialect, verdict.mRetryAfter));
+  }
+  response.mBody =
+    R"({"outcome":")" + outcome + R"(","reason":")" + verdict.mReason + "\"}";
+  return response;
+}
+
+} // namespace vanillascale
--- a/src/Document.cpp
+++ b/src/Document.cpp
@@ -1,8 +1,10 @@
 #include "Document.h"
 
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
+#include <tuple>
 
 namespace vanillascale {
 
@@ -16,7 +18,14 @@
 constexpr unsigned kMaxAccountLimit = 1000000;
 constexpr unsigned kMinDeadlineMs = 10;
 constexpr unsigned kMaxDeadlineMs = 600000;
+constexpr unsigned kMaxAttempts = 10;
+constexpr unsigned kDefaultAttempts = 3;
+constexpr unsigned kMaxWeight = 1000000;
 constexpr std::size_t kMaxNameLength = 64;
+constexpr std::size_t kMaxPathLength = 2048;
+constexpr unsigned kMinHeadBytes = 256;
+constexpr unsigned kMaxHeadBytes = 1024 * 1024;
+constexpr unsigned kMaxBodyBytes = 1024 * 1024 * 1024;
 
 /** Reads the members of one JSON object and notes every fault on the way. */
 class ObjectReader
@@ -32,20 +41,39 @@
     }
   }
 
-  std::string Text(const char* aMember)
+  std::string Text(const char* aMember, std::size_t aMost = kMaxNameLength)
   {
     const Json* value = Find(aMember, true);
     if (!value) {
       return {};
     }
     if (!value->is_string() || value->get_ref<const std::string&>().empty() ||
-        value->get_ref<const std::string&>().size() > kMaxNameLength) {
-      Note(aMember, "must be a text of 1 to 64 characters");
+        value->get_ref<const std::string&>().size() > aMost) {
+      Note(aMember,
+           "must be a text of 1 to " + std::to_string(aMost) + " characters");
       return {};
     }
     return value->get<std::string>();
   }
 
+  /** A text that may be left out. */
+  std::string OptionalText(const char* aMember,
+                           std::size_t aMost = kMaxNameLength)
+  {
+    return Find(aMember, false) ? Text(aMember, aMost) : std::string();
+  }
+
+  /** A list that may be left out; null where it is. */
+  const Json* List(const char* aMember)
+  {
+    const Json* value = Find(aMember, false);
+    if (value && !value->is_array()) {
+      Note(aMember, "must be a list");
+      return nullptr;
+    }
+    return value;
+  }
+
   unsigned Number(const char* aMember,
                   unsigned aLowest,
                   unsigned aHighest,
@@ -138,30 +166,78 @@
   return service;
 }
 
+std::vector<RouteShare>
+ReadShares(const Json& aList, const std::string& aPlace, Faults& aFaults)
+{
+  std::vector<RouteShare> shares;
+  std::size_t n = 0;
+  for (const Json& it : aList) {
+    ObjectReader reader(it, aPlace + "/" + std::to_string(n++), aFaults);
+    RouteShare share;
+    share.mService = ServiceName(reader.Text("service"));
+    share.mWeight = reader.Number("weight", 0, kMaxWeight, std::nullopt);
+    reader.RefuseOthers();
+    shares.push_back(std::move(share));
+  }
+  return shares;
+}
+
+CallerLimits
+ReadLimits(const Json& aObject, const std::string& aPlace, Faults& aFaults)
+{
+  ObjectReader reader(aObject, aPlace, aFaults);
+  CallerLimits limits;
+  limits.mHeadBytes =
+    reader.Number("headBytes", kMinHeadBytes, kMaxHeadBytes, std::nullopt);
+  limits.mBodyBytes =
+    reader.Number("bodyBytes", 0, kMaxBodyBytes, std::nullopt);
+  limits.mRequestTime = std::chrono::milliseconds(
+    reader.Number("requestMs", kMinDeadlineMs, kMaxDeadlineMs, std::nullopt));
+  limits.mIdleTime = std::chrono::milliseconds(
+    reader.Number("idleMs", kMinDeadlineMs, kMaxDeadlineMs, std::nullopt));
+  reader.RefuseOthers();
+  return limits;
+}
+
 Route
 ReadRoute(const Json& aObject, const std::string& aPlace, Faults& aFaults)
 {
   ObjectReader reader(aObject, aPlace, aFaults);
   Route route;
   route.mName = RouteName(reader.Text("name"));
-  route.mService = ServiceName(reader.Text("service"));
-  route.mMethod = reader.Text("method");
+  if (const Json* shares = reader.List("shares")) {
+    route.mShares = ReadShares(*shares, aPlace + "/shares", aFaults);
+    route.mService = ServiceName(reader.OptionalText("service"));
+    if (!route.mService.mValue.empty() || route.mShares.empty()) {
+      reader.Note("shares", "must have an entry, and stand without a service");
+    }
+  } else {
+    route.mService = ServiceName(reader.Text("service"));
+  }
+  route.mHost = reader.OptionalText("host", kMaxPathLength);
+  route.mMethod = reader.OptionalText("method");
   if (!route.mMethod.empty() && route.mMethod != "GET" &&
       route.mMethod != "POST" && route.mMethod != "PUT" &&
       route.mMethod != "DELETE") {
     reader.Note("method", "must be GET, POST, PUT or DELETE");
   }
-  route.mPath = reader.Text("path");
-  if (!route.mPath.empty() &&
-      (route.mPath.front() != '/' ||
-       (route.mPath.size() > 1 && route.mPath.back() == '/'))) {
-    reader.Note("path", "must start with a slash and not end in one");
+  route.mPath = reader.Text("path", kMaxPathLength);
+  if (!route.mPath.empty() && (route.mPath.front() != '/' ||
+                               route.mPath.find("//") != std::string::npos)) {
+    reader.Note("path", "must start with a slash and have no empty segment");
   }
   route.mPriority = reader.Number("priority", 1, kMaxPriority, std::nullopt);
   route.mWork = reader.Flag("long", false) ? WorkClass::Long : WorkClass::Short;
   route.mIdempotent = reader.Flag("idempotent", route.mMethod == "GET");
+  route.mOncePolicy =
+    reader.Flag("keyed", true) ? OncePolicy::PerKey : OncePolicy::PerRequest;
   route.mDeadline = std::chrono::milliseconds(
     reader.Number("deadlineMs", kMinDeadlineMs, kMaxDeadlineMs, std::nullopt));
+  route.mIsDeadlineBound = reader.Flag("deadlineBinds", false);
+  route.mGoal =
+    std::chrono::milliseconds(reader.Number("goalMs", 0, kMaxDeadlineMs, 0U));
+  route.mAttempts =
+    reader.Number("attempts", 1, kMaxAttempts, kDefaultAttempts);
   reader.RefuseOthers();
   return route;
 }
@@ -211,19 +287,34 @@
 
 } // namespace
 
+std::vector<ServiceName>
+ServicesOf(const Route& aRoute)
+{
+  if (aRoute.mShares.empty()) {
+    return { aRoute.mService };
+  }
+  std::vector<ServiceName> services;
+  for (const RouteShare& it : aRoute.mShares) {
+    services.push_back(it.mService);
+  }
+  return services;
+}
+
 std::vector<DocumentFault>
 CheckReferences(const Document& aDocument)
 {
   Faults faults;
-  std::map<std::pair<std::string, std::string>, RouteName> seen;
+  std::map<std::tuple<std::string, std::string, std::string>, RouteName> seen;
   for (const auto& [name, route] : aDocument.mRoutes) {
-    if (aDocument.mServices.count(route.mService) == 0) {
-      faults.push_back({ "/routes/" + name.mValue + "/service",
-                         "names no service of the document: \"" +
-                           route.mService.mValue + "\"" });
+    for (const ServiceName& it : ServicesOf(route)) {
+      if (aDocument.mServices.count(it) == 0) {
+        faults.push_back(
+          { "/routes/" + name.mValue + "/service",
+            "names no service of the document: \"" + it.mValue + "\"" });
+      }
     }
-    auto [it, isNew] =
-      seen.emplace(std::make_pair(route.mMethod, route.mPath), name);
+    auto [it, isNew] = seen.emplace(
+      std::make_tuple(route.mHost, route.mMethod, route.mPath), name);
     if (!isNew) {
       faults.push_back(
         { "/routes/" + name.mValue + "/path",
@@ -253,8 +344,14 @@
   Json head = root;
   head.erase("services");
   head.erase("routes");
+  head.erase("limits");
   ObjectReader reader(head, "", faults);
   document.mEnvironment = reader.Text("environment");
+  document.mRevision =
+    reader.Number("revision", 0, std::numeric_limits<unsigned>::max(), 0U);
+  if (root.contains("limits")) {
+    document.mLimits = ReadLimits(root["limits"], "/limits", faults);
+  }
   reader.RefuseOthers();
   ReadList<Service>(root, "services", ReadService, document.mServices, faults);
   ReadList<Route>(root, "routes", ReadRoute, document.mRoutes, faults);
@@ -296,16 +393,71 @@
 {
   auto deadline =
     std::chrono::duration_cast<std::chrono::milliseconds>(aRoute.mDeadline);
-  return Json{
-    { "name", aRoute.mName.mValue },
-    { "service", aRoute.mService.mValue },
-    { "method", aRoute.mMethod },
-    { "path", aRoute.mPath },
-    { "priority", aRoute.mPriority },
-    { "long", aRoute.mWork == WorkClass::Long },
-    { "idempotent", aRoute.mIdempotent },
-    { "deadlineMs", deadline.count() }
-  }.dump();
+  Json json{ { "name", aRoute.mName.mValue },
+             { "path", aRoute.mPath },
+             { "priority", aRoute.mPriority },
+             { "long", aRoute.mWork == WorkClass::Long },
+             { "idempotent", aRoute.mIdempotent },
+             { "deadlineMs", deadline.count() } };
+  // Members that hold their defaults are left out, so that a route reads back
+  // as it was written.
+  if (aRoute.mShares.empty()) {
+    json["service"] = aRoute.mService.mValue;
+  } else {
+    for (const RouteShare& it : aRoute.mShares) {
+      json["shares"].push_back(
+        { { "service", it.mService.mValue }, { "weight", it.mWeight } });
+    }
+  }
+  if (!aRoute.mMethod.empty()) {
+    json["method"] = aRoute.mMethod;
+  }
+  if (!aRoute.mHost.empty()) {
+    json["host"] = aRoute.mHost;
+  }
+  if (aRoute.mOncePolicy == OncePolicy::PerRequest) {
+    json["keyed"] = false;
+  }
+  if (aRoute.mIsDeadlineBound) {
+    json["deadlineBinds"] = true;
+  }
+  if (aRoute.mGoal > Duration(0)) {
+    json["goalMs"] =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aRoute.mGoal)
+        .count();
+  }
+  if (aRoute.mAttempts != kDefaultAttempts) {
+    json["attempts"] = aRoute.mAttempts;
+  }
+  return json.dump();
+}
+
+std::string
+FormatDocument(const Document& aDocument)
+{
+  Json json{ { "environment", aDocument.mEnvironment },
+             { "services", Json::array() },
+             { "routes", Json::array() } };
+  if (aDocument.mRevision > 0) {
+    json["revision"] = aDocument.mRevision;
+  }
+  if (aDocument.mLimits) {
+    auto ms = [](Duration aTime) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(aTime)
+        .count();
+    };
+    json["limits"] = { { "headBytes", aDocument.mLimits->mHeadBytes },
+                       { "bodyBytes", aDocument.mLimits->mBodyBytes },
+                       { "requestMs", ms(aDocument.mLimits->mRequestTime) },
+                       { "idleMs", ms(aDocument.mLimits->mIdleTime) } };
+  }
+  for (const auto& [name, service] : aDocument.mServices) {
+    json["services"].push_back(Json::parse(FormatService(service)));
+  }
+  for (const auto& [name, route] : aDocument.mRoutes) {
+    json["routes"].push_back(Json::parse(FormatRoute(route)));
+  }
+  return json.dump();
 }
 
 } // namespace vanillascale
--- a/src/Document.h
+++ b/src/Document.h
@@ -4,7 +4,9 @@
 #include "Clock.h"
 #include "Ids.h"
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -18,6 +20,16 @@
   Long
 };
 
+/** What makes sure that work which may not be repeated runs only once. */
+enum class OncePolicy
+{
+  /** The caller's Idempotency-Key: a resend with the same key is recognized,
+   * whichever proxy it comes to. */
+  PerKey,
+  /** Each request is sent to a target once; a resend is a new request. */
+  PerRequest
+};
+
 /** One service: where its targets are found and what protects them.
  *
  * mVersion is the log offset of the change that last replaced the object, 0 for
@@ -37,27 +49,62 @@
   LogOffset mVersion = 0;
 };
 
+/** A part of a route's requests that goes to a service. */
+struct RouteShare
+{
+  ServiceName mService;
+  unsigned mWeight = 1;
+};
+
 /** One route: which requests it matches and how they are served. */
 struct Route
 {
   RouteName mName;
+  /** The service, where the route has one. */
   ServiceName mService;
+  /** The services among which requests are spread by weight, instead. */
+  std::vector<RouteShare> mShares;
+  /** Empty for any host. */
+  std::string mHost;
+  /** Empty for any method. */
   std::string mMethod;
-  /** Matches the path itself and everything below it. */
+  /** Matches the path itself and everything below it; one that ends in a slash
+   * only what is below it. */
   std::string mPath;
   /** 1 is served first. */
   unsigned mPriority = 1;
   WorkClass mWork = WorkClass::Short;
   bool mIdempotent = true;
-  /** How long a caller waits who does not say. */
+  OncePolicy mOncePolicy = OncePolicy::PerKey;
+  /** How long a caller waits who does not say, and the longest that one waits
+   * where mIsDeadlineBound is set. */
   Duration mDeadline{ 0 };
+  bool mIsDeadlineBound = false;
+  /** The time within which an answer is of full use; 0 where not stated. */
+  Duration mGoal{ 0 };
+  /** Targets to which one request may be sent. */
+  unsigned mAttempts = 3;
   LogOffset mVersion = 0;
 };
 
+/** What callers may send, where the document bounds it. */
+struct CallerLimits
+{
+  std::size_t mHeadBytes = 16UL * 1024;
+  std::size_t mBodyBytes = 64UL * 1024 * 1024;
+  /** From a request's first byte to its end. */
+  Duration mRequestTime{ 0 };
+  /** Between requests of one connection. */
+  Duration mIdleTime{ 0 };
+};
+
 /** What operators promote: one document per environment. */
 struct Document
 {
   std::string mEnvironment;
+  /** Rises with each document where whole documents are published. */
+  std::uint64_t mRevision = 0;
+  std::optional<CallerLimits> mLimits;
   std::map<ServiceName, Service> mServices;
   std::map<RouteName, Route> mRoutes;
 };
@@ -95,6 +142,14 @@
 tl::expected<Route, std::vector<DocumentFault>>
 ParseRoute(const std::string& aText);
 
+/** Writes a whole document as JSON that ParseDocument reads back. Pure. */
+std::string
+FormatDocument(const Document& aDocument);
+
+/** The services to which a route's requests may go. Pure. */
+std::vector<ServiceName>
+ServicesOf(const Route& aRoute);
+
 /** Writes a service as canonical JSON, without its version. */
 std::string
 FormatService(const Service& aService);
--- a/src/Effects.h
+++ b/src/Effects.h
@@ -25,6 +25,8 @@
   unsigned mStatus = 0;
   RunOutcome mOutcome = RunOutcome::NotRun;
   const char* mReason = "";
+  /** When a caller that was told "not run" should come back. */
+  Duration mRetryAfter = std::chrono::seconds(1);
 };
 
 /** Send a message to a peer. It may be lost. */
@@ -79,6 +81,16 @@
 struct ReadVmList
 {};
 
+/** Read a keyed topic of the platform's store: all entries, or the records from
+ * an offset on, waiting for one to come if there is none. */
+struct ReadFeed
+{
+  std::string mTopic;
+  bool mIsWhole = false;
+  LogOffset mFrom = 0;
+  Duration mWait{ 0 };
+};
+
 /** Write an event to the log. Numbers are listed in docs/EVENTS.md. */
 struct WriteEvent
 {
@@ -98,7 +110,8 @@
                             ReadLog,
                             ReadVmList,
                             WriteEvent,
-                            Stop>;
+                            Stop,
+                            ReadFeed>;
 
 /** Effects in the order in which they are to be carried out. */
 using Effects = std::vector<Effect>;
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -10,14 +10,27 @@
 constexpr int kEventStopped = 104;
 constexpr int kEventSettingsRefused = 105;
 constexpr int kEventServerFailed = 106;
+constexpr int kEventReloaded = 107;
+constexpr int kEventLinesDropped = 108;
+
+constexpr int kEventRequestRefused = 200;
+constexpr int kEventRequestSent = 201;
+constexpr int kEventRequestEnded = 202;
+constexpr int kEventRequestRetried = 203;
+constexpr int kEventCallerGone = 204;
+constexpr int kEventSlotGranted = 205;
+constexpr int kEventSlotRefused = 206;
+constexpr int kEventRequestDelayed = 207;
 
 constexpr int kEventChangeFolded = 300;
 constexpr int kEventCheckpointWritten = 302;
+constexpr int kEventDocumentRead = 303;
 
 constexpr int kEventSchedulerStarted = 400;
 constexpr int kEventSchedulerEnded = 401;
 constexpr int kEventFallbackEntered = 402;
 constexpr int kEventFallbackLeft = 403;
+constexpr int kEventSchedulerPassedOver = 404;
 
 constexpr int kEventTargetEjected = 500;
 constexpr int kEventTrialStarted = 501;
@@ -29,6 +42,13 @@
 
 constexpr int kEventLogAway = 600;
 constexpr int kEventLogBack = 601;
+constexpr int kEventStoreLost = 602;
+constexpr int kEventStoreBack = 603;
+
+/** The name of an event in docs/EVENTS.md; "Unknown" for other numbers. Pure.
+ */
+const char*
+EventName(int aNumber);
 
 } // namespace vanillascale
 
--- /dev/null
+++ b/src/HttpExchange.cpp
@@ -0,0 +1,237 @@
+#include "HttpExchange.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+
+namespace vanillascale {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t kReadBytes = 16UL * 1024;
+/** Some round trips between distant zones; a kernel's default is minutes. */
+constexpr unsigned kUnansweredDataMs = 4000;
+
+class TcpExchange
+  : public HttpExchange
+  , public std::enable_shared_from_this<TcpExchange>
+{
+public:
+  TcpExchange(boost::asio::io_context& aLoop,
+              ExchangeRequest aRequest,
+              ReusableSocket aSocket,
+              Callback aCallback)
+    : mLoop(aLoop)
+    , mRequest(std::move(aRequest))
+    , mSocket(std::move(aSocket))
+    , mCallback(std::move(aCallback))
+    , mDeadline(aLoop)
+    , mConnectDeadline(aLoop)
+    , mParser(ResponseParser::Make(mRequest.mLimits, mRequest.mIsToHead))
+  {
+  }
+
+  void Begin()
+  {
+    mDeadline.expires_after(mRequest.mTimeout);
+    mDeadline.async_wait([self = shared_from_this()](const error_code& aError) {
+      if (!aError) {
+        self->End(self->mIsConnected ? ExchangeEnd::TimedOut
+                                     : ExchangeEnd::ConnectFailed);
+      }
+    });
+    if (mSocket) {
+      mIsConnected = true;
+      Write();
+      return;
+    }
+    mSocket = std::make_unique<tcp::socket>(mLoop);
+    mConnectDeadline.expires_after(mRequest.mConnectTimeout);
+    mConnectDeadline.async_wait(
+      [self = shared_from_this()](const error_code& aError) {
+        if (!aError && !self->mIsConnected) {
+          self->End(ExchangeEnd::ConnectFailed);
+        }
+      });
+    mSocket->async_connect(
+      ToTcp(mRequest.mTo),
+      [self = shared_from_this()](const error_code& aError) {
+        self->OnConnected(aError);
+      });
+  }
+
+  void Cancel() override { End(ExchangeEnd::Cancelled); }
+
+private:
+  void OnConnected(const error_code& aError)
+  {
+    if (mIsEnded) {
+      return;
+    }
+    mConnectDeadline.cancel();
+    if (aError) {
+      End(ExchangeEnd::ConnectFailed);
+      return;
+    }
+    mIsConnected = true;
+    TuneSocket(*mSocket);
+    Write();
+  }
+
+  /** Reads while it writes: a server may answer before it has read all. */
+  void Write()
+  {
+    boost::asio::async_write(
+      *mSocket,
+      boost::asio::buffer(mRequest.mBytes),
+      [self = shared_from_this()](const error_code& aError, std::size_t) {
+        // A failure shows on the reading side as well,
+        // behind an answer that may be there already.
+        self->mIsWritten = !aError;
+      });
+    Read();
+  }
+
+  void Read()
+  {
+    mSocket->async_read_some(boost::asio::buffer(mBytes),
+                             [self = shared_from_this()](
+                               const error_code& aError, std::size_t aCount) {
+                               self->OnRead(aError, aCount);
+                             });
+  }
+
+  void OnRead(const error_code& aError, std::size_t aCount)
+  {
+    if (mIsEnded) {
+      return;
+    }
+    mPending.append(mBytes.data(), aCount);
+    Parse();
+    if (mIsEnded) {
+      return;
+    }
+    if (aError == boost::asio::error::eof) {
+      mParser->FeedEnd();
+      mHasEnded = true;
+      Parse();
+    }
+    if (mIsEnded) {
+      return;
+    }
+    if (aError) {
+      End(ExchangeEnd::Broken);
+    } else {
+      Read();
+    }
+  }
+
+  void Parse()
+  {
+    while (!mIsEnded) {
+      if (mParser->Progress() == HttpProgress::Incomplete) {
+        mPending.erase(0, mParser->Feed(mPending));
+      }
+      if (mParser->Progress() == HttpProgress::Incomplete) {
+        return;
+      }
+      if (mParser->Progress() != HttpProgress::Complete) {
+        End(ExchangeEnd::Broken);
+        return;
+      }
+      mResponse = mParser->Take();
+      bool isOwn = !mRequest.mAccepts || mRequest.mAccepts(mResponse);
+      if (isOwn) {
+        End(ExchangeEnd::Complete);
+        return;
+      }
+      if (mHasEnded) {
+        End(ExchangeEnd::Broken);
+        return;
+      }
+      mParser = ResponseParser::Make(mRequest.mLimits, mRequest.mIsToHead);
+    }
+  }
+
+  void End(ExchangeEnd aEnd)
+  {
+    if (mIsEnded) {
+      return;
+    }
+    mIsEnded = true;
+    mDeadline.cancel();
+    mConnectDeadline.cancel();
+    ExchangeResult result;
+    result.mEnd = aEnd;
+    if (aEnd == ExchangeEnd::Complete) {
+      bool isReusable =
+        mResponse.mKeepsAlive && mIsWritten && mPending.empty() && !mHasEnded;
+      result.mResponse = std::move(mResponse);
+      if (isReusable) {
+        result.mSocket = std::move(mSocket);
+      }
+    }
+    if (mSocket) {
+      error_code ec;
+      mSocket->close(ec);
+    }
+    boost::asio::post(mLoop,
+                      [callback = std::move(mCallback),
+                       shared = std::make_shared<ExchangeResult>(std::move(
+                         result))]() { callback(std::move(*shared)); });
+  }
+
+  boost::asio::io_context& mLoop;
+  ExchangeRequest mRequest;
+  ReusableSocket mSocket;
+  Callback mCallback;
+  boost::asio::steady_timer mDeadline;
+  boost::asio::steady_timer mConnectDeadline;
+  std::unique_ptr<ResponseParser> mParser;
+  std::array<char, kReadBytes> mBytes{};
+  std::string mPending;
+  HttpResponse mResponse;
+  bool mIsConnected = false;
+  bool mIsWritten = false;
+  bool mHasEnded = false;
+  bool mIsEnded = false;
+};
+
+} // namespace
+
+std::shared_ptr<HttpExchange>
+HttpExchange::Start(boost::asio::io_context& aLoop,
+                    ExchangeRequest aRequest,
+                    ReusableSocket aSocket,
+                    Callback aCallback)
+{
+  auto exchange = std::make_shared<TcpExchange>(
+    aLoop, std::move(aRequest), std::move(aSocket), std::move(aCallback));
+  exchange->Begin();
+  return exchange;
+}
+
+void
+TuneSocket(boost::asio::ip::tcp::socket& aSocket)
+{
+  error_code ec;
+  aSocket.set_option(tcp::no_delay(true), ec);
+  aSocket.set_option(
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(
+      kUnansweredDataMs),
+    ec);
+}
+
+boost::asio::ip::tcp::endpoint
+ToTcp(const Endpoint& aEndpoint)
+{
+  return { boost::asio::ip::make_address_v4(aEndpoint.mHost), aEndpoint.mPort };
+}
+
+} // namespace vanillascale
--- /dev/null
+++ b/src/HttpExchange.h
@@ -0,0 +1,88 @@
+#ifndef VANILLASCALE_HTTPEXCHANGE_H
+#define VANILLASCALE_HTTPEXCHANGE_H
+
+#include "Clock.h"
+#include "HttpParser.h"
+#include "Settings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+
+namespace vanillascale {
+
+/** How an exchange ended. */
+enum class ExchangeEnd
+{
+  /** A whole answer came. */
+  Complete,
+  /** No connection came about: no byte was sent. */
+  ConnectFailed,
+  /** The connection or the answer broke after bytes may have been sent. */
+  Broken,
+  /** The time was up after bytes may have been sent. */
+  TimedOut,
+  Cancelled
+};
+
+/** One request to a server and what bounds it. */
+struct ExchangeRequest
+{
+  Endpoint mTo;
+  /** The serialized request. */
+  std::string mBytes;
+  bool mIsToHead = false;
+  Duration mConnectTimeout{ 0 };
+  /** From now to the end of the answer. */
+  Duration mTimeout{ 0 };
+  HttpLimits mLimits;
+  /** Whether an answer belongs to this request; a false one is skipped and the
+   * next awaited. Empty accepts all. */
+  std::function<bool(const HttpResponse&)> mAccepts;
+};
+
+/** An open connection that can carry another exchange. */
+using ReusableSocket = std::unique_ptr<boost::asio::ip::tcp::socket>;
+
+struct ExchangeResult
+{
+  ExchangeEnd mEnd = ExchangeEnd::Broken;
+  /** Set where mEnd is Complete. */
+  HttpResponse mResponse;
+  /** Set where the connection can be used again. */
+  ReusableSocket mSocket;
+};
+
+/** One request and its answer on one connection. Nothing is ever sent twice.
+ * The loop's thread only. */
+class HttpExchange
+{
+public:
+  using Callback = std::function<void(ExchangeResult)>;
+
+  /** Starts an exchange, on aSocket if there is one, else on a new connection.
+   * aCallback is called once, never from within Start. */
+  static std::shared_ptr<HttpExchange> Start(boost::asio::io_context& aLoop,
+                                             ExchangeRequest aRequest,
+                                             ReusableSocket aSocket,
+                                             Callback aCallback);
+
+  virtual ~HttpExchange() = default;
+
+  /** Closes the connection; the callback gets Cancelled. */
+  virtual void Cancel() = 0;
+};
+
+/** Bounds how long the kernel goes on sending to a peer that no longer answers,
+ * and turns off the delay of small writes. */
+void
+TuneSocket(boost::asio::ip::tcp::socket& aSocket);
+
+/** The loop's own address type for an endpoint. */
+boost::asio::ip::tcp::endpoint
+ToTcp(const Endpoint& aEndpoint);
+
+} // namespace vanillascale
+
+#endif
--- /dev/null
+++ b/src/HttpMessage.cpp
@@ -0,0 +1,180 @@
+#include "HttpMessage.h"
+
+#include <algorithm>
+#include <strings.h>
+
+namespace vanillascale {
+
+namespace {
+
+constexpr unsigned kStatusNoContent = 204;
+constexpr unsigned kStatusNotModified = 304;
+constexpr unsigned kFirstFinalStatus = 200;
+
+const char*
+ReasonPhrase(unsigned aStatus)
+{
+  switch (aStatus) {
+    case 100:
+      return "Continue";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 202:
+      return "Accepted";
+    case 204:
+      return "No Content";
+    case 304:
+      return "Not Modified";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Payload Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Entity";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+void
+AppendHeader(std::string& aInto,
+             std::string_view aName,
+             std::string_view aValue)
+{
+  aInto.append(aName).append(": ").append(aValue).append("\r\n");
+}
+
+bool
+IsListed(std::string_view aList, std::string_view aName)
+{
+  while (!aList.empty()) {
+    std::size_t comma = aList.find(',');
+    std::string_view item = aList.substr(0, comma);
+    aList = comma == std::string_view::npos ? std::string_view()
+                                            : aList.substr(comma + 1);
+    std::size_t first = item.find_first_not_of(" \t");
+    std::size_t last = item.find_last_not_of(" \t");
+    if (first != std::string_view::npos &&
+        IsSameName(item.substr(first, last - first + 1), aName)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+bool
+IsSameName(std::string_view aLeft, std::string_view aRight)
+{
+  return aLeft.size() == aRight.size() &&
+         strncasecmp(aLeft.data(), aRight.data(), aLeft.size()) == 0;
+}
+
+const std::string*
+FindHeader(const std::vector<Header>& aHeaders, std::string_view aName)
+{
+  auto it =
+    std::find_if(aHeaders.begin(), aHeaders.end(), [&](const Header& aHeader) {
+      return IsSameName(aHeader.mName, aName);
+    });
+  return it == aHeaders.end() ? nullptr : &it->mValue;
+}
+
+bool
+IsHopByHop(const std::vector<Header>& aHeaders, std::string_view aName)
+{
+  static constexpr std::string_view kNames[] = { "Connection",
+                                                 "Keep-Alive",
+                                                 "Transfer-Encoding",
+                                                 "Content-Length",
+                                                 "TE",
+                                                 "Trailer",
+                                                 "Upgrade",
+                                                 "Expect",
+                                                 "Proxy-Authenticate",
+                                                 "Proxy-Authorization",
+                                                 "Proxy-Connection" };
+  bool isFixed =
+    std::any_of(std::begin(kNames), std::end(kNames), [&](auto aOther) {
+      return IsSameName(aName, aOther);
+    });
+  return isFixed ||
+         std::any_of(
+           aHeaders.begin(), aHeaders.end(), [&](const Header& aHeader) {
+             return IsSameName(aHeader.mName, "Connection") &&
+                    IsListed(aHeader.mValue, aName);
+           });
+}
+
+std::string
+Serialize(const HttpRequest& aRequest)
+{
+  std::string bytes;
+  bytes.append(aRequest.mMethod)
+    .append(" ")
+    .append(aRequest.mTarget)
+    .append(" HTTP/1.1\r\n");
+  for (const Header& it : aRequest.mHeaders) {
+    AppendHeader(bytes, it.mName, it.mValue);
+  }
+  bool mayLackBody = aRequest.mMethod == "GET" || aRequest.mMethod == "HEAD";
+  if (!aRequest.mBody.empty() || !mayLackBody) {
+    AppendHeader(
+      bytes, "Content-Length", std::to_string(aRequest.mBody.size()));
+  }
+  if (!aRequest.mKeepsAlive) {
+    AppendHeader(bytes, "Connection", "close");
+  }
+  bytes.append("\r\n").append(aRequest.mBody);
+  return bytes;
+}
+
+std::string
+Serialize(const HttpResponse& aResponse, bool aIsToHead)
+{
+  std::string bytes = "HTTP/1.1 " + std::to_string(aResponse.mStatus) + " " +
+                      ReasonPhrase(aResponse.mStatus) + "\r\n";
+  for (const Header& it : aResponse.mHeaders) {
+    AppendHeader(bytes, it.mName, it.mValue);
+  }
+  bool hasBody = aResponse.mStatus >= kFirstFinalStatus &&
+                 aResponse.mStatus != kStatusNoContent &&
+                 aResponse.mStatus != kStatusNotModified && !aIsToHead;
+  if (hasBody) {
+    AppendHeader(
+      bytes, "Content-Length", std::to_string(aResponse.mBody.size()));
+  }
+  if (aResponse.mStatus >= kFirstFinalStatus && !aResponse.mKeepsAlive) {
+    AppendHeader(bytes, "Connection", "close");
+  }
+  bytes.append("\r\n");
+  if (hasBody) {
+    bytes.append(aResponse.mBody);
+  }
+  return bytes;
+}
+
+} // namespace vanillascale
--- /dev/null
+++ b/src/HttpParser.cpp
@@ -0,0 +1,221 @@
+#include "HttpParser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+
+namespace vanillascale {
+
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+HttpProgress
+ProgressOf(const error_code& aError)
+{
+  if (!aError || aError == http::error::need_more) {
+    return HttpProgress::Incomplete;
+  }
+  if (aError == http::error::header_limit) {
+    return HttpProgress::HeadTooLarge;
+  }
+  if (aError == http::error::body_limit) {
+    return HttpProgress::BodyTooLarge;
+  }
+  return HttpProgress::Malformed;
+}
+
+/** Feeds a Beast parser as long as it consumes anything. */
+template<typename Parser>
+std::size_t
+FeedParser(Parser& aParser, std::string_view aBytes, HttpProgress& aProgress)
+{
+  std::size_t total = 0;
+  while (!aParser.is_done()) {
+    error_code ec;
+    std::size_t n = aParser.put(
+      boost::asio::buffer(aBytes.data() + total, aBytes.size() - total), ec);
+    total += n;
+    aProgress = ProgressOf(ec);
+    bool isStuck = n == 0 || total == aBytes.size();
+    if (aProgress != HttpProgress::Incomplete || isStuck) {
+      break;
+    }
+  }
+  if (aParser.is_done() && aProgress == HttpProgress::Incomplete) {
+    aProgress = HttpProgress::Complete;
+  }
+  return total;
+}
+
+template<typename Fields>
+std::vector<Header>
+HeadersOf(const Fields& aFields)
+{
+  std::vector<Header> headers;
+  for (const auto& it : aFields) {
+    headers.push_back(
+      { std::string(it.name_string()), std::string(it.value()) });
+  }
+  return headers;
+}
+
+} // namespace
+
+struct RequestParser::Impl
+{
+  http::request_parser<http::string_body> mParser;
+  HttpProgress mProgress = HttpProgress::Incomplete;
+  bool mHasBegun = false;
+};
+
+RequestParser::RequestParser(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+RequestParser::~RequestParser() = default;
+
+std::unique_ptr<RequestParser>
+RequestParser::Make(const HttpLimits& aLimits)
+{
+  auto impl = std::make_unique<Impl>();
+  impl->mParser.eager(true);
+  impl->mParser.header_limit(static_cast<std::uint32_t>(aLimits.mHeadBytes));
+  impl->mParser.body_limit(aLimits.mBodyBytes);
+  return std::unique_ptr<RequestParser>(new RequestParser(std::move(impl)));
+}
+
+std::size_t
+RequestParser::Feed(std::string_view aBytes)
+{
+  std::size_t n = FeedParser(mImpl->mParser, aBytes, mImpl->mProgress);
+  mImpl->mHasBegun = mImpl->mHasBegun || !aBytes.empty();
+  return n;
+}
+
+HttpProgress
+RequestParser::Progress() const
+{
+  return mImpl->mProgress;
+}
+
+bool
+RequestParser::AwaitsContinue() const
+{
+  const auto& parser = mImpl->mParser;
+  return mImpl->mProgress == HttpProgress::Incomplete &&
+         parser.is_header_done() &&
+         IsSameName(std::string(parser.get()[http::field::expect]),
+                    "100-continue");
+}
+
+bool
+RequestParser::HasBegun() const
+{
+  return mImpl->mHasBegun;
+}
+
+HttpRequest
+RequestParser::Take()
+{
+  auto message = mImpl->mParser.release();
+  HttpRequest request;
+  request.mMethod = std::string(message.method_string());
+  request.mTarget = std::string(message.target());
+  request.mHeaders = HeadersOf(message);
+  request.mKeepsAlive = message.keep_alive();
+  request.mBody = std::move(message.body());
+  return request;
+}
+
+struct ResponseParser::Impl
+{
+  HttpLimits mLimits;
+  bool mIsToHead = false;
+  std::optional<http::response_parser<http::string_body>> mParser;
+  HttpProgress mProgress = HttpProgress::Incomplete;
+
+  void Begin()
+  {
+    mParser.emplace();
+    mParser->eager(true);
+    mParser->header_limit(static_cast<std::uint32_t>(mLimits.mHeadBytes));
+    mParser->body_limit(mLimits.mBodyBytes);
+    mParser->skip(mIsToHead);
+    mProgress = HttpProgress::Incomplete;
+  }
+
+  bool IsInterim() const
+  {
+    return mProgress == HttpProgress::Complete &&
+           http::to_status_class(mParser->get().result_int()) ==
+             http::status_class::informational;
+  }
+};
+
+ResponseParser::ResponseParser(std::unique_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+ResponseParser::~ResponseParser() = default;
+
+std::unique_ptr<ResponseParser>
+ResponseParser::Make(const HttpLimits& aLimits, bool aIsToHead)
+{
+  auto impl = std::make_unique<Impl>();
+  impl->mLimits = aLimits;
+  impl->mIsToHead = aIsToHead;
+  impl->Begin();
+  return std::unique_ptr<ResponseParser>(new ResponseParser(std::move(impl)));
+}
+
+std::size_t
+ResponseParser::Feed(std::string_view aBytes)
+{
+  std::size_t total = FeedParser(*mImpl->mParser, aBytes, mImpl->mProgress);
+  while (mImpl->IsInterim()) {
+    mImpl->Begin();
+    total +=
+      FeedParser(*mImpl->mParser, aBytes.substr(total), mImpl->mProgress);
+  }
+  return total;
+}
+
+void
+ResponseParser::FeedEnd()
+{
+  if (mImpl->mProgress != HttpProgress::Incomplete) {
+    return;
+  }
+  bool isUnframed =
+    mImpl->mParser->is_header_done() && mImpl->mParser->need_eof();
+  error_code ec;
+  mImpl->mParser->put_eof(ec);
+  mImpl->mProgress = isUnframed && !ec && mImpl->mParser->is_done()
+                       ? HttpProgress::Complete
+                       : HttpProgress::Malformed;
+}
+
+HttpProgress
+ResponseParser::Progress() const
+{
+  return mImpl->mProgress;
+}
+
+HttpResponse
+ResponseParser::Take()
+{
+  auto message = mImpl->mParser->release();
+  HttpResponse response;
+  response.mStatus = message.result_int();
+  response.mHeaders = HeadersOf(message);
+  response.mKeepsAlive = message.keep_alive();
+  response.mBody = std::move(message.body());
+  return response;
+}
+
+} // namespace vanillascale
--- a/src/Ids.h
+++ b/src/Ids.h
@@ -40,7 +40,8 @@
 /** A proxy process, named by the address at which its peers reach it
  * ("ip:port"). A restarted process keeps its id and raises its incarnation. */
 using NodeId = Id<struct NodeKind>;
-/** A target, named by the address at which it serves ("ip:port"). */
+/** A target, named by the address at which it serves ("ip:port") or, where the
+ * platform tells the processes at one address apart, by "instance@ip:port". */
 using TargetId = Id<struct TargetKind>;
 /** An availability zone. */
 using ZoneName = Id<struct ZoneKind>;
@@ -59,6 +60,23 @@
 /** A position in a stream of the platform's log. The first record has 1. */
 using LogOffset = std::uint64_t;
 
+/** The address part of a target's name. Pure. */
+inline std::string
+AddressOf(const TargetId& aTarget)
+{
+  std::size_t at = aTarget.mValue.find('@');
+  return at == std::string::npos ? aTarget.mValue
+                                 : aTarget.mValue.substr(at + 1);
+}
+
+/** The instance part of a target's name; empty where it has none. Pure. */
+inline std::string
+InstanceOf(const TargetId& aTarget)
+{
+  std::size_t at = aTarget.mValue.find('@');
+  return at == std::string::npos ? std::string() : aTarget.mValue.substr(0, at);
+}
+
 } // namespace vanillascale
 
 namespace std {
--- /dev/null
+++ b/src/KeyedFeed.cpp
@@ -0,0 +1,335 @@
+#include "KeyedFeed.h"
+
+#include "EventNumbers.h"
+#include "Rendezvous.h"
+
+#include <algorithm>
+
+namespace vanillascale {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Nodes that take over from the reader one after the other; all others come
+ * last, at random. */
+constexpr std::size_t kSuccessors = 4;
+/** A successor's read takes less. */
+constexpr Duration kSuccessorStep = milliseconds(120);
+constexpr Duration kPullInterval = milliseconds(200);
+/** Pauses between reads while the store fails grow up to this. */
+constexpr Duration kLongestRetryPause = milliseconds(1600);
+constexpr Duration kFirstRetryPause = milliseconds(200);
+constexpr unsigned kMostDoublings = 3;
+/** Without news for longer, the store counts as having been away: entries lapse
+ * after some seconds at the earliest. */
+constexpr Duration kOutageTime = milliseconds(1500);
+
+/** This node's place among the readers of its zone. */
+std::size_t
+RankOf(const KeyedFeedState& aState, const MembersState& aMembers)
+{
+  auto readers = PickOwners(LiveMembersIn(aMembers, aMembers.mZone),
+                            "feed/" + aState.mSettings.mTopic,
+                            kSuccessors);
+  auto it = std::find(readers.begin(), readers.end(), aMembers.mSelf);
+  return static_cast<std::size_t>(it - readers.begin());
+}
+
+void
+StartRead(KeyedFeedState& aState, const FeedContext& aContext)
+{
+  aState.mIsReading = true;
+  ++aState.mReads;
+  ReadFeed read;
+  read.mTopic = aState.mSettings.mTopic;
+  read.mIsWhole = aState.mNeedsWhole;
+  read.mFrom = aState.mEnd;
+  read.mWait = aState.mNeedsWhole ? Duration(0) : aState.mSettings.mWait;
+  aContext.mEffects.push_back(std::move(read));
+}
+
+bool
+IsReadDue(const KeyedFeedState& aState, const FeedContext& aContext)
+{
+  if (aState.mIsReading || aContext.mNow < aState.mNextReadAt) {
+    return false;
+  }
+  if (!aState.mIsLoaded) {
+    return true;
+  }
+  std::size_t rank = RankOf(aState, aContext.mMembers);
+  Duration stale = aContext.mNow - aState.mFreshAt;
+  return rank == 0 || stale >= aState.mSettings.mStaleAfter +
+                                 kSuccessorStep * static_cast<int>(rank - 1);
+}
+
+/** Asks a peer while the store does not answer. */
+void
+PullIfLacking(KeyedFeedState& aState, const FeedContext& aContext)
+{
+  if (aState.mIsLoaded || aContext.mNow < aState.mNextPullAt) {
+    return;
+  }
+  aState.mNextPullAt = aContext.mNow + kPullInterval;
+  std::vector<NodeId> peers = LiveMembers(aContext.mMembers);
+  peers.erase(std::remove(peers.begin(), peers.end(), aContext.mMembers.mSelf),
+              peers.end());
+  if (!peers.empty()) {
+    const NodeId& peer = peers[RandomBelow(aContext.mRandom, peers.size())];
+    aContext.mEffects.push_back(
+      SendPeer{ peer, FeedPull{ aState.mSettings.mTopic, aState.mEnd } });
+  }
+}
+
+void
+Remove(KeyedFeedState& aState, const std::string& aKey)
+{
+  aState.mVersion += aState.mEntries.erase(aKey);
+  aState.mVanishing.erase(aKey);
+}
+
+/** Removes an entry, or lets it stay for a while where it may only have lapsed
+ * because its owner could not reach the store. */
+void
+Vanish(KeyedFeedState& aState, TimePoint aNow, const std::string& aKey)
+{
+  TimePoint until = aState.mReturnedAt + aState.mSettings.mReturnTime;
+  bool isAfterOutage = aState.mReturnedAt != TimePoint{} && aNow < until;
+  if (isAfterOutage && aState.mEntries.count(aKey) > 0) {
+    aState.mVanishing.emplace(aKey, until);
+  } else {
+    Remove(aState, aKey);
+  }
+}
+
+/** Takes in one entry; returns whether it changes anything. */
+bool
+Take(KeyedFeedState& aState, TimePoint aNow, const FeedEntry& aEntry)
+{
+  auto it = aState.mEntries.find(aEntry.mKey);
+  if (it != aState.mEntries.end() && it->second.mOffset >= aEntry.mOffset) {
+    return false;
+  }
+  if (aEntry.mValue.empty()) {
+    bool isKnown = it != aState.mEntries.end();
+    Vanish(aState, aNow, aEntry.mKey);
+    return isKnown;
+  }
+  bool isBack = aState.mVanishing.erase(aEntry.mKey) > 0;
+  bool isNew =
+    it == aState.mEntries.end() || it->second.mValue != aEntry.mValue;
+  aState.mEntries[aEntry.mKey] = aEntry;
+  aState.mVersion += isNew ? 1 : 0;
+  return isNew || isBack;
+}
+
+/** Takes all entries of a whole copy, and drops those that it lacks. */
+void
+TakeWhole(KeyedFeedState& aState,
+          TimePoint aNow,
+          LogOffset aEnd,
+          const std::vector<FeedEntry>& aEntries)
+{
+  std::map<std::string, bool> present;
+  for (const FeedEntry& it : aEntries) {
+    present[it.mKey] = true;
+    Take(aState, aNow, it);
+  }
+  std::vector<std::string> absent;
+  for (const auto& [key, entry] : aState.mEntries) {
+    if (present.count(key) == 0 && entry.mOffset < aEnd) {
+      absent.push_back(key);
+    }
+  }
+  for (const std::string& it : absent) {
+    Vanish(aState, aNow, it);
+  }
+}
+
+void
+NoteFresh(KeyedFeedState& aState, TimePoint aNow, TimePoint aFreshAt)
+{
+  bool wasAway = aState.mIsLoaded && aFreshAt - aState.mFreshAt > kOutageTime;
+  if (wasAway) {
+    aState.mReturnedAt = aNow;
+  }
+  aState.mFreshAt = std::max(aState.mFreshAt, aFreshAt);
+}
+
+FeedPush
+MakePush(const KeyedFeedState& aState, TimePoint aNow)
+{
+  FeedPush push;
+  push.mTopic = aState.mSettings.mTopic;
+  push.mEnd = aState.mEnd;
+  push.mAge = aNow - aState.mFreshAt;
+  return push;
+}
+
+/** All entries; those that are vanishing are not passed on. */
+std::vector<FeedEntry>
+CopyEntries(const KeyedFeedState& aState)
+{
+  std::vector<FeedEntry> entries;
+  for (const auto& [key, entry] : aState.mEntries) {
+    if (aState.mVanishing.count(key) == 0) {
+      entries.push_back(entry);
+    }
+  }
+  return entries;
+}
+
+void
+PassOn(const FeedContext& aContext, const FeedPush& aPush)
+{
+  const MembersState& members = aContext.mMembers;
+  for (const NodeId& it : LiveMembersIn(members, members.mZone)) {
+    if (it != members.mSelf) {
+      aContext.mEffects.push_back(SendPeer{ it, aPush });
+    }
+  }
+}
+
+void
+NoteFailure(KeyedFeedState& aState, const FeedContext& aContext)
+{
+  ++aState.mFailedReads;
+  if (++aState.mFailures == 1) {
+    aContext.mEffects.push_back(
+      WriteEvent{ kEventStoreLost, "topic=" + aState.mSettings.mTopic });
+  }
+  unsigned doublings = std::min(aState.mFailures - 1, kMostDoublings);
+  Duration pause = kFirstRetryPause * (1 << doublings);
+  bool isFirst = RankOf(aState, aContext.mMembers) == 0;
+  pause = isFirst ? std::max(kFirstRetryPause, pause / 2)
+                  : std::min(pause, kLongestRetryPause);
+  auto jitter = static_cast<Duration::rep>(
+    RandomBelow(aContext.mRandom, static_cast<std::size_t>(pause.count())));
+  aState.mNextReadAt = aContext.mNow + pause / 2 + Duration(jitter);
+}
+
+} // namespace
+
+KeyedFeedState
+KeyedFeedState::Make(FeedSettings aSettings, TimePoint aNow)
+{
+  KeyedFeedState state;
+  state.mSettings = std::move(aSettings);
+  state.mFreshAt = aNow;
+  return state;
+}
+
+void
+FeedTick(KeyedFeedState& aState, const FeedContext& aContext)
+{
+  std::vector<std::string> gone;
+  for (const auto& [key, until] : aState.mVanishing) {
+    if (aContext.mNow >= until) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& it : gone) {
+    Remove(aState, it);
+  }
+  PullIfLacking(aState, aContext);
+  if (IsReadDue(aState, aContext)) {
+    StartRead(aState, aContext);
+  }
+}
+
+void
+FeedReceive(KeyedFeedState& aState,
+            const FeedContext& aContext,
+            const FeedRead& aRead)
+{
+  aState.mIsReading = false;
+  if (!aRead.mIsDone) {
+    NoteFailure(aState, aContext);
+    return;
+  }
+  if (aState.mFailures > 0) {
+    aContext.mEffects.push_back(
+      WriteEvent{ kEventStoreBack,
+                  "topic=" + aState.mSettings.mTopic +
+                    " failed_reads=" + std::to_string(aState.mFailures) });
+    aState.mFailures = 0;
+  }
+  aState.mNextReadAt = aContext.mNow + aState.mSettings.mPace;
+  if (aRead.mIsTrimmed) {
+    aState.mNeedsWhole = true;
+    aState.mNextReadAt = aContext.mNow;
+    return;
+  }
+  LogOffset after = aState.mEnd;
+  NoteFresh(aState, aContext.mNow, aContext.mNow);
+  FeedPush push;
+  if (aRead.mIsWhole) {
+    TakeWhole(aState, aContext.mNow, aRead.mEnd, aRead.mEntries);
+  } else {
+    for (const FeedEntry& it : aRead.mEntries) {
+      if (Take(aState, aContext.mNow, it)) {
+        push.mEntries.push_back(it);
+      }
+    }
+  }
+  aState.mEnd = std::max(aState.mEnd, aRead.mEnd);
+  bool wasLoaded = aState.mIsLoaded;
+  aState.mIsLoaded = true;
+  aState.mNeedsWhole = false;
+  // All nodes read for themselves as they start: there is nothing to pass on.
+  if (!wasLoaded) {
+    return;
+  }
+  auto entries = std::move(push.mEntries);
+  push = MakePush(aState, aContext.mNow);
+  push.mIsWhole = aRead.mIsWhole;
+  push.mAfter = after;
+  push.mEntries = aRead.mIsWhole ? CopyEntries(aState) : std::move(entries);
+  PassOn(aContext, push);
+}
+
+void
+FeedReceive(KeyedFeedState& aState,
+            const FeedContext& aContext,
+            const NodeId& aFrom,
+            const FeedPush& aPush)
+{
+  if (aPush.mEnd < aState.mEnd) {
+    return;
+  }
+  bool fits = aPush.mIsWhole || aPush.mAfter <= aState.mEnd;
+  if (!fits || (!aState.mIsLoaded && !aPush.mIsWhole)) {
+    aContext.mEffects.push_back(
+      SendPeer{ aFrom, FeedPull{ aState.mSettings.mTopic, aState.mEnd } });
+    return;
+  }
+  NoteFresh(aState, aContext.mNow, aContext.mNow - aPush.mAge);
+  if (aPush.mIsWhole) {
+    TakeWhole(aState, aContext.mNow, aPush.mEnd, aPush.mEntries);
+  } else {
+    for (const FeedEntry& it : aPush.mEntries) {
+      Take(aState, aContext.mNow, it);
+    }
+  }
+  aState.mEnd = aPush.mEnd;
+  aState.mIsLoaded = true;
+  aState.mNeedsWhole = false;
+}
+
+void
+FeedReceive(const KeyedFeedState& aState,
+            const FeedContext& aContext,
+            const NodeId& aFrom,
+            const FeedPull& aPull)
+{
+  if (!aState.mIsLoaded || aState.mEnd < aPull.mEnd) {
+    return;
+  }
+  FeedPush push = MakePush(aState, aContext.mNow);
+  push.mIsWhole = true;
+  push.mEntries = CopyEntries(aState);
+  aContext.mEffects.push_back(SendPeer{ aFrom, std::move(push) });
+}
+
+} // namespace vanillascale
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -337,6 +337,39 @@
   MSGPACK_DEFINE(mRequest, mState, mAnswer)
 };
 
+/** The newest record of one key of a keyed topic. An empty value says that the
+ * key was removed. */
+struct FeedEntry
+{
+  std::string mKey;
+  LogOffset mOffset = 0;
+  std::string mValue;
+  MSGPACK_DEFINE(mKey, mOffset, mValue)
+};
+
+/** Passes on what a reader of a keyed topic has read: the entries that changed
+ * from mAfter to mEnd or, with mIsWhole, all. Without entries it only says that
+ * nothing has changed. */
+struct FeedPush
+{
+  std::string mTopic;
+  LogOffset mAfter = 0;
+  LogOffset mEnd = 0;
+  bool mIsWhole = false;
+  /** How old the sender's knowledge of the store is as the message leaves. */
+  Duration mAge{ 0 };
+  std::vector<FeedEntry> mEntries;
+  MSGPACK_DEFINE(mTopic, mAfter, mEnd, mIsWhole, mAge, mEntries)
+};
+
+/** Asks a peer for all entries of a keyed topic, if it has read further. */
+struct FeedPull
+{
+  std::string mTopic;
+  LogOffset mEnd = 0;
+  MSGPACK_DEFINE(mTopic, mEnd)
+};
+
 /** All that proxies say to each other. New kinds go to the end. */
 using Message = std::variant<Ping,
                              PingAck,
@@ -355,7 +388,9 @@
                              IntentDecision,
                              KeptAnswerQuery,
                              KeptAnswerReply,
-                             LeaseQuery>;
+                             LeaseQuery,
+                             FeedPush,
+                             FeedPull>;
 
 } // namespace vanillascale
 
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -13,11 +13,38 @@
 using std::chrono::seconds;
 
 constexpr Duration kVmListInterval = seconds(1);
+/** While the list is empty the node can serve nobody. */
+constexpr Duration kEmptyVmListInterval = milliseconds(100);
 constexpr Duration kIdleSchedulerTime = seconds(5);
 /** Long enough for the fleet to learn that a node is leaving. */
 constexpr Duration kLeavingTime = milliseconds(1500);
 constexpr Duration kLongestLeavingTime = std::chrono::minutes(10);
 
+/** Documents change rarely and have to be in force within two seconds. */
+FeedSettings
+DocumentFeed()
+{
+  FeedSettings settings;
+  settings.mTopic = kDocumentTopic;
+  settings.mPace = milliseconds(20);
+  settings.mWait = milliseconds(800);
+  settings.mStaleAfter = milliseconds(1250);
+  return settings;
+}
+
+/** Targets' entries change all the time, mostly in nothing but a count: reads
+ * are spaced. One that leaves must be known within two seconds. */
+FeedSettings
+TargetFeed()
+{
+  FeedSettings settings;
+  settings.mTopic = kTargetTopic;
+  settings.mPace = milliseconds(450);
+  settings.mStaleAfter = milliseconds(1000);
+  settings.mReturnTime = milliseconds(2200);
+  return settings;
+}
+
 ProxyContext
 ContextOf(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
@@ -26,6 +53,12 @@
   };
 }
 
+FeedContext
+FeedContextOf(NodeState& aState, TimePoint aNow, Effects& aEffects)
+{
+  return { aNow, aState.mMembers, aState.mRandom, aEffects };
+}
+
 ConfigContext
 ConfigContextOf(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
@@ -89,6 +122,72 @@
   return it->second;
 }
 
+/** Takes over a new list of the platform's VMs. */
+void
+TakeVms(NodeState& aState, TimePoint aNow, std::vector<Vm> aVms)
+{
+  aState.mVms = std::move(aVms);
+  aState.mHasVms = true;
+  std::vector<Vm> proxies;
+  for (const Vm& it : aState.mVms) {
+    if (it.mGroup == aState.mIdentity.mVmGroup) {
+      proxies.push_back(it);
+    }
+  }
+  SeedMembers(aState.mMembers, aNow, proxies);
+  for (auto& [name, scheduler] : aState.mSchedulers) {
+    if (const Service* service = FindService(aState, name)) {
+      UpdatePool(scheduler.mPool, aNow, service->mVmGroup, aState.mVms);
+    }
+  }
+  SeedLocalTargets(aState.mProxy, aState.mConfig.mConfig, aState.mVms);
+}
+
+/** Puts the newest document of the feed in force. */
+void
+AdoptDocument(NodeState& aState, const KeyedFeedState& aFeed, Effects& aEffects)
+{
+  for (const auto& [key, entry] : aFeed.mEntries) {
+    auto document = ParseDocument(entry.mValue);
+    std::string outcome = "in_force";
+    if (!document) {
+      outcome = "invalid place=" + document.error().front().mPlace;
+    } else if (!ReplaceDocument(
+                 aState.mConfig.mConfig, std::move(*document), entry.mOffset)) {
+      outcome = "not_newer";
+    }
+    aEffects.push_back(
+      WriteEvent{ kEventDocumentRead,
+                  "offset=" + std::to_string(entry.mOffset) + " revision=" +
+                    std::to_string(aState.mConfig.mConfig.mDocument.mRevision) +
+                    " outcome=" + outcome });
+  }
+}
+
+/** Acts on what has changed in the feeds. */
+void
+AdoptFeeds(NodeState& aState, TimePoint aNow, Effects& aEffects)
+{
+  const KeyedFeedState& documents = aState.mFeeds.at(kDocumentTopic);
+  if (documents.mVersion != aState.mSeenDocuments) {
+    aState.mSeenDocuments = documents.mVersion;
+    AdoptDocument(aState, documents, aEffects);
+  }
+  const KeyedFeedState& targets = aState.mFeeds.at(kTargetTopic);
+  bool isFirst = targets.mIsLoaded && !aState.mHasVms;
+  if (targets.mVersion == aState.mSeenTargets && !isFirst) {
+    return;
+  }
+  aState.mSeenTargets = targets.mVersion;
+  std::vector<Vm> vms;
+  for (const auto& [key, entry] : targets.mEntries) {
+    if (auto vm = ParseVm(entry.mValue)) {
+      vms.push_back(std::move(*vm));
+    }
+  }
+  TakeVms(aState, aNow, std::move(vms));
+}
+
 /** Hands each kind of message to the role that it is for. */
 struct MessageHandler
 {
@@ -155,6 +254,9 @@
   void operator()(const ConfigPull& aMessage) { ToConfig(aMessage); }
   void operator()(const ConfigPush& aMessage) { ToConfig(aMessage); }
 
+  void operator()(const FeedPush& aMessage) { ToFeed(aMessage); }
+  void operator()(const FeedPull& aMessage) { ToFeed(aMessage); }
+
   void operator()(const IntentRequest& aMessage)
   {
     std::string stream =
@@ -188,6 +290,16 @@
       mState.mProxy, ContextOf(mState, mNow, mEffects), mFrom, aMessage);
   }
   template<typename Body>
+  void ToFeed(const Body& aMessage)
+  {
+    auto it = mState.mFeeds.find(aMessage.mTopic);
+    if (it != mState.mFeeds.end()) {
+      FeedReceive(
+        it->second, FeedContextOf(mState, mNow, mEffects), mFrom, aMessage);
+      AdoptFeeds(mState, mNow, mEffects);
+    }
+  }
+  template<typename Body>
   void ToConfig(const Body& aMessage)
   {
     ConfigReceive(
@@ -267,11 +379,7 @@
   void operator()(const Tick&)
   {
     MembersTick(mState.mMembers, mNow, mState.mRandom, mEffects);
-    ConfigTick(mState.mConfig, ConfigContextOf(mState, mNow, mEffects));
-    if (mNow >= mState.mNextVmListAt) {
-      mState.mNextVmListAt = mNow + kVmListInterval;
-      mEffects.push_back(ReadVmList{});
-    }
+    FollowPlatform();
     TickSchedulers(mState, mNow, mEffects);
     for (auto& [stream, writer] : mState.mWriters) {
       IntentWriterTick(writer, mNow, mEffects);
@@ -321,21 +429,16 @@
     if (!aEvent.mIsDone) {
       return;
     }
-    mState.mVms = aEvent.mVms;
-    mState.mHasVms = true;
-    std::vector<Vm> proxies;
-    for (const Vm& it : mState.mVms) {
-      if (it.mGroup == mState.mIdentity.mVmGroup) {
-        proxies.push_back(it);
-      }
-    }
-    SeedMembers(mState.mMembers, mNow, proxies);
-    for (auto& [name, scheduler] : mState.mSchedulers) {
-      if (const Service* service = FindService(mState, name)) {
-        UpdatePool(scheduler.mPool, mNow, service->mVmGroup, mState.mVms);
-      }
+    TakeVms(mState, mNow, aEvent.mVms);
+  }
+
+  void operator()(const FeedRead& aEvent)
+  {
+    auto it = mState.mFeeds.find(aEvent.mTopic);
+    if (it != mState.mFeeds.end()) {
+      FeedReceive(it->second, FeedContextOf(mState, mNow, mEffects), aEvent);
+      AdoptFeeds(mState, mNow, mEffects);
     }
-    SeedLocalTargets(mState.mProxy, mState.mConfig.mConfig, mState.mVms);
   }
 
   void operator()(const ShutdownRequested&)
@@ -350,6 +453,23 @@
   }
 
 private:
+  void FollowPlatform()
+  {
+    if (mState.mIdentity.mSource == ConfigSource::KeyedFeeds) {
+      for (auto& [topic, feed] : mState.mFeeds) {
+        FeedTick(feed, FeedContextOf(mState, mNow, mEffects));
+      }
+      AdoptFeeds(mState, mNow, mEffects);
+      return;
+    }
+    ConfigTick(mState.mConfig, ConfigContextOf(mState, mNow, mEffects));
+    if (mNow >= mState.mNextVmListAt) {
+      mState.mNextVmListAt =
+        mNow + (mState.mVms.empty() ? kEmptyVmListInterval : kVmListInterval);
+      mEffects.push_back(ReadVmList{});
+    }
+  }
+
   template<typename Body>
   void ToProxy(const Body& aEvent)
   {
@@ -369,6 +489,18 @@
   state.mConfig = ConfigReaderState::Make(aIdentity.mEnvironment, aNow);
   state.mProxy = ProxyState::Make(
     aIdentity.mSelf, aIdentity.mIncarnation, aIdentity.mEnvironment);
+  std::vector<Vm> seeds;
+  for (const NodeId& it : aIdentity.mSeeds) {
+    Vm vm;
+    vm.mAddress = it.mValue;
+    seeds.push_back(std::move(vm));
+  }
+  SeedMembers(state.mMembers, aNow, seeds);
+  if (aIdentity.mSource == ConfigSource::KeyedFeeds) {
+    for (const FeedSettings& it : { DocumentFeed(), TargetFeed() }) {
+      state.mFeeds.emplace(it.mTopic, KeyedFeedState::Make(it, aNow));
+    }
+  }
   state.mIdentity = std::move(aIdentity);
   return state;
 }
@@ -396,7 +528,49 @@
 bool
 IsReady(const NodeState& aState, TimePoint aNow)
 {
-  return !aState.mIsStopping && IsConfigCurrent(aState.mConfig, aNow);
+  if (aState.mIsStopping) {
+    return false;
+  }
+  if (aState.mIdentity.mSource == ConfigSource::KeyedFeeds) {
+    // A copy that has aged in an outage still serves; one that is missing not.
+    return aState.mHasVms &&
+           !aState.mConfig.mConfig.mDocument.mEnvironment.empty();
+  }
+  return IsConfigCurrent(aState.mConfig, aNow);
+}
+
+bool
+IsBusy(const NodeState& aState)
+{
+  if (!aState.mProxy.mRequests.empty() || aState.mIsStopping) {
+    return true;
+  }
+  for (const auto& [name, scheduler] : aState.mSchedulers) {
+    if (!scheduler.mLeases.empty() || !scheduler.mQueue.mEntries.empty()) {
+      return true;
+    }
+  }
+  return !aState.mWriters.empty();
+}
+
+std::string
+FormatVm(const Vm& aVm)
+{
+  msgpack::sbuffer buf;
+  msgpack::pack(buf, aVm);
+  return std::string(buf.data(), buf.size());
+}
+
+std::optional<Vm>
+ParseVm(const std::string& aValue)
+{
+  try {
+    return msgpack::unpack(aValue.data(), aValue.size())->as<Vm>();
+  } catch (const msgpack::unpack_error&) {
+    return std::nullopt;
+  } catch (const msgpack::type_error&) {
+    return std::nullopt;
+  }
 }
 
 } // namespace vanillascale
--- a/src/Node.h
+++ b/src/Node.h
@@ -3,6 +3,7 @@
 
 #include "ConfigReader.h"
 #include "IntentWriter.h"
+#include "KeyedFeed.h"
 #include "Members.h"
 #include "NodeEvents.h"
 #include "Proxy.h"
@@ -12,6 +13,20 @@
 
 namespace vanillascale {
 
+/** Where the document comes from. */
+enum class ConfigSource
+{
+  /** A stream of changes in the platform's log, which all nodes fold. */
+  ChangeStream,
+  /** Whole documents in a keyed topic of the platform's store; targets stand in
+   * another. */
+  KeyedFeeds
+};
+
+/** The topics of a node that lives on keyed feeds, as adapters name them. */
+constexpr const char* kDocumentTopic = "documents";
+constexpr const char* kTargetTopic = "targets";
+
 /** What a node is told at its start. */
 struct NodeIdentity
 {
@@ -23,6 +38,12 @@
   /** Higher for every later process with the same id. */
   std::uint64_t mIncarnation = 1;
   std::uint64_t mSeed = 1;
+  ConfigSource mSource = ConfigSource::ChangeStream;
+  /** Other proxies that may be there already. */
+  std::vector<NodeId> mSeeds;
+  /** The process has to be gone this long after it was told to stop; 0 where
+   * nobody will end it. */
+  Duration mStopWithin{ 0 };
 };
 
 /** Everything one process knows. */
@@ -35,6 +56,10 @@
   ProxyState mProxy;
   std::map<ServiceName, SchedulerState> mSchedulers;
   std::map<std::string, IntentWriterState> mWriters;
+  /** Empty where the source is ChangeStream. */
+  std::map<std::string, KeyedFeedState> mFeeds;
+  std::uint64_t mSeenDocuments = 0;
+  std::uint64_t mSeenTargets = 0;
   std::vector<Vm> mVms;
   bool mHasVms = false;
   TimePoint mNextVmListAt{};
@@ -63,6 +88,19 @@
 bool
 IsReady(const NodeState& aState, TimePoint aNow);
 
+/** Whether requests are in progress or waiting, so that time matters at the
+ * scale of kTickInterval. Pure. */
+bool
+IsBusy(const NodeState& aState);
+
+/** Writes a VM as the value of a feed's entry. Pure. */
+std::string
+FormatVm(const Vm& aVm);
+
+/** Reads it back; nothing where the value is none. Pure. */
+std::optional<Vm>
+ParseVm(const std::string& aValue);
+
 } // namespace vanillascale
 
 #endif
--- a/src/NodeEvents.h
+++ b/src/NodeEvents.h
@@ -8,12 +8,15 @@
 
 namespace vanillascale {
 
-/** Time has passed. The shell sends one every kTickInterval. */
+/** Time has passed. The shell sends one every kTickInterval while anything is
+ * in progress, else every kIdleTickInterval. */
 struct Tick
 {};
 
-/** How often the shell sends a Tick. */
+/** How often the shell sends a Tick while requests are in progress. */
 constexpr Duration kTickInterval = std::chrono::milliseconds(10);
+/** How often it does otherwise: a third of the shortest timeout of probes. */
+constexpr Duration kIdleTickInterval = std::chrono::milliseconds(50);
 
 /** A caller's request has come in whole. */
 struct CallerRequest
@@ -22,9 +25,12 @@
   std::string mMethod;
   /** With the query part. */
   std::string mPath;
+  std::string mHost;
+  /** The caller's own id of the request, for the log. */
+  std::string mName;
   std::string mAccount;
   std::string mKey;
-  /** A hash of method, path and body. */
+  /** A hash of method, host, path and body. */
   std::uint64_t mFingerprint = 0;
   /** The caller's own deadline, if it set one. */
   std::optional<Duration> mDeadline;
@@ -96,6 +102,9 @@
   ZoneName mZone;
   unsigned mSlots = 0;
   bool mIsLeaving = false;
+  /** How much longer it is slow after its start. */
+  Duration mColdLeft{ 0 };
+  MSGPACK_DEFINE(mGroup, mAddress, mAdmin, mZone, mSlots, mIsLeaving, mColdLeft)
 };
 
 /** A ReadVmList has ended. */
@@ -105,6 +114,21 @@
   std::vector<Vm> mVms;
 };
 
+/** A ReadFeed has ended. Values are in the product's own formats; entries that
+ * the platform's adapter could not read are left out or removed. */
+struct FeedRead
+{
+  std::string mTopic;
+  bool mIsDone = false;
+  /** mEntries are all there are, not only those that changed. */
+  bool mIsWhole = false;
+  /** The records asked for are no longer kept: all entries have to be read. */
+  bool mIsTrimmed = false;
+  /** The offset from which the next read goes on. */
+  LogOffset mEnd = 0;
+  std::vector<FeedEntry> mEntries;
+};
+
 /** The process was asked to stop. */
 struct ShutdownRequested
 {};
@@ -117,7 +141,8 @@
                            LogAppended,
                            LogRead,
                            VmListRead,
-                           ShutdownRequested>;
+                           ShutdownRequested,
+                           FeedRead>;
 
 } // namespace vanillascale
 
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -111,6 +111,63 @@
   }
 }
 
+void
+AddLoop(prometheus::Registry& aRegistry, const LoopCounters& aLoop)
+{
+  AddGauge(aRegistry,
+           "vanillascale_caller_connections",
+           "Connections that callers have open",
+           static_cast<double>(aLoop.mCallerConnections));
+  AddGauge(aRegistry,
+           "vanillascale_kept_target_connections",
+           "Connections to targets that wait for another request",
+           static_cast<double>(aLoop.mKeptTargetConnections));
+  AddCounter(aRegistry,
+             "vanillascale_target_connects_total",
+             "Connections made to targets",
+             static_cast<double>(aLoop.mTargetConnects));
+  AddCounter(aRegistry,
+             "vanillascale_log_lines_total",
+             "Lines written to the log",
+             static_cast<double>(aLoop.mLogLines));
+  AddCounter(aRegistry,
+             "vanillascale_log_dropped_lines_total",
+             "Lines left out since their event's rate or the buffer was full",
+             static_cast<double>(aLoop.mLogDropped));
+  AddGauge(aRegistry,
+           "vanillascale_loop_lag_max_seconds",
+           "How late the loop has come to a timer at most",
+           std::chrono::duration<double>(aLoop.mLongestLag).count());
+  static const char* const sKinds[] = {
+    "append_log", "read_log", "read_vm_list", "read_feed"
+  };
+  for (std::size_t i = 0; i < aLoop.mPlatformCalls.size(); ++i) {
+    AddCounter(aRegistry,
+               "vanillascale_platform_calls_total",
+               "Calls made to the platform",
+               static_cast<double>(aLoop.mPlatformCalls[i]),
+               { { "kind", sKinds[i] } });
+  }
+}
+
+void
+AddFeed(prometheus::Registry& aRegistry,
+        const KeyedFeedState& aFeed,
+        TimePoint aNow)
+{
+  Labels labels{ { "topic", aFeed.mSettings.mTopic } };
+  AddGauge(aRegistry,
+           "vanillascale_feed_age_seconds",
+           "How old the copy of a topic of the platform's store is",
+           std::chrono::duration<double>(aNow - aFeed.mFreshAt).count(),
+           labels);
+  AddCounter(aRegistry,
+             "vanillascale_feed_failed_reads_total",
+             "Reads of a topic that failed",
+             static_cast<double>(aFeed.mFailedReads),
+             labels);
+}
+
 const char*
 StatusText(MemberStatus aStatus)
 {
@@ -132,7 +189,8 @@
 std::string
 ReportMetrics(const NodeState& aState,
               const PeerLinkCounters& aLinks,
-              std::size_t aOpenCallers)
+              const LoopCounters& aLoop,
+              TimePoint aNow)
 {
   prometheus::Registry registry;
   AddProxy(registry, aState.mProxy);
@@ -142,7 +200,11 @@
   AddGauge(registry,
            "vanillascale_open_callers",
            "Requests that callers have open",
-           static_cast<double>(aOpenCallers));
+           static_cast<double>(aLoop.mOpenRequests));
+  AddLoop(registry, aLoop);
+  for (const auto& [topic, feed] : aState.mFeeds) {
+    AddFeed(registry, feed, aNow);
+  }
   AddGauge(registry,
            "vanillascale_config_offset",
            "Offset of the configuration in force",
--- a/src/NodeReport.h
+++ b/src/NodeReport.h
@@ -4,19 +4,34 @@
 #include "Node.h"
 #include "PeerLinks.h"
 
+#include <array>
 #include <string>
 
 namespace vanillascale {
 
-/** Writes the node's metrics in the text format that prometheus-cpp makes. The
- * caller holds the lock that guards aState. */
+/** What the runtime counts. */
+struct LoopCounters
+{
+  std::size_t mOpenRequests = 0;
+  std::size_t mCallerConnections = 0;
+  std::size_t mKeptTargetConnections = 0;
+  std::uint64_t mTargetConnects = 0;
+  std::uint64_t mLogLines = 0;
+  std::uint64_t mLogDropped = 0;
+  /** Calls to the platform, by the kinds of PlatformCall. */
+  std::array<std::uint64_t, 4> mPlatformCalls{};
+  /** How late a tick has come at most. */
+  Duration mLongestLag{ 0 };
+};
+
+/** Writes the node's metrics in the text format that prometheus-cpp makes. */
 std::string
 ReportMetrics(const NodeState& aState,
               const PeerLinkCounters& aLinks,
-              std::size_t aOpenCallers);
+              const LoopCounters& aLoop,
+              TimePoint aNow);
 
-/** Writes what `vanillascale status` shows, as JSON. The caller holds the lock
- * that guards aState. */
+/** Writes what `vanillascale status` shows, as JSON. */
 std::string
 ReportStatus(const NodeState& aState, TimePoint aNow);
 
--- a/src/NodeRuntime.cpp
+++ b/src/NodeRuntime.cpp
@@ -1,380 +1,368 @@
 #include "NodeRuntime.h"
 
 #include "CallerServer.h"
+#include "EventLog.h"
 #include "EventNumbers.h"
 #include "Hash.h"
 #include "Node.h"
 #include "NodeReport.h"
 #include "PeerLinks.h"
-#include "PlatformClient.h"
-#include "TargetClient.h"
-
-#include <atomic>
-#include <cxxtools/eventloop.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/http/responder.h>
-#include <cxxtools/http/server.h>
-#include <cxxtools/http/service.h>
-#include <cxxtools/regex.h>
-#include <deque>
-#include <glog/logging.h>
-#include <thread>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <unistd.h>
 
 namespace vanillascale {
 
 namespace {
 
+using boost::system::error_code;
 using std::chrono::milliseconds;
+using SteadyClock = std::chrono::steady_clock;
 
-constexpr std::size_t kPlatformThreads = 6;
-constexpr std::size_t kCancelThreads = 1;
-/** What the kernel gets to send the last answers. */
-constexpr Duration kFlushTime = milliseconds(200);
-constexpr unsigned kFirstServerThreads = 4;
-constexpr unsigned kAdminThreads = 4;
-constexpr int kTicksPerSocketCheck = 5;
 constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusUnavailable = 503;
+/** How often kept connections are looked at. */
+constexpr Duration kSweepInterval = milliseconds(500);
+/** What the kernel gets to send the last answers. */
+constexpr Duration kFlushTime = milliseconds(100);
+/** A connection without a request for so long has no request on its way, as far
+ * as round trips go, and is closed when the node leaves. */
+constexpr Duration kIdleBeforeClose = milliseconds(300);
 
-/** A queue of work for a few threads that may block. */
-class WorkQueue
+TimePoint
+Now()
 {
-public:
-  using Job = std::function<void()>;
-
-  void Push(Job aJob)
-  {
-    std::lock_guard<std::mutex> lock(mMutex);
-    mJobs.push_back(std::move(aJob));
-    mWakeUp.notify_one();
-  }
-
-  /** Waits for a job; an empty one says that the queue is closed. */
-  Job Pop()
-  {
-    std::unique_lock<std::mutex> lock(mMutex);
-    mWakeUp.wait(lock, [&] { return mIsClosed || !mJobs.empty(); });
-    if (mIsClosed) {
-      return nullptr;
-    }
-    Job job = std::move(mJobs.front());
-    mJobs.pop_front();
-    return job;
-  }
-
-  void Close()
-  {
-    std::lock_guard<std::mutex> lock(mMutex);
-    mIsClosed = true;
-    mWakeUp.notify_all();
-  }
-
-private:
-  std::mutex mMutex;
-  std::condition_variable mWakeUp;
-  std::deque<Job> mJobs;
-  bool mIsClosed = false;
-};
+  auto now = SteadyClock::now().time_since_epoch();
+  return TimePoint(std::chrono::duration_cast<Duration>(now));
+}
 
-/** Serves the admin pages: each is a function that returns its text. */
-class AdminService : public cxxtools::http::Service
+std::string
+FormatEndpoint(const Endpoint& aEndpoint)
 {
-public:
-  using Page = std::function<std::pair<unsigned, std::string>()>;
-
-  explicit AdminService(std::map<std::string, Page> aPages)
-    : mPages(std::move(aPages))
-  {
-  }
-
-protected:
-  class PageResponder : public cxxtools::http::Responder
-  {
-  public:
-    PageResponder(AdminService& aService)
-      : Responder(aService)
-      , mService(aService)
-    {
-    }
-    void reply(std::ostream& aOut,
-               cxxtools::http::Request& aRequest,
-               cxxtools::http::Reply& aReply) override
-    {
-      auto it = mService.mPages.find(aRequest.url());
-      if (it == mService.mPages.end()) {
-        aReply.httpReturn(404, "Not Found");
-        return;
-      }
-      auto [status, text] = it->second();
-      aReply.httpReturn(status, status == kStatusOk ? "OK" : "Unavailable");
-      aOut << text;
-    }
-
-  private:
-    AdminService& mService;
-  };
-
-  cxxtools::http::Responder* createResponder(
-    const cxxtools::http::Request& /*aRequest*/) override
-  {
-    return new PageResponder(*this);
-  }
-  void releaseResponder(cxxtools::http::Responder* aResponder) override
-  {
-    delete aResponder;
-  }
-
-private:
-  std::map<std::string, Page> mPages;
-};
+  return aEndpoint.mHost + ":" + std::to_string(aEndpoint.mPort);
+}
 
-/** An HTTP server with the thread that runs its event loop. */
-struct HttpServer
+NodeIdentity
+IdentityOf(const Settings& aSettings, ConfigSource aSource)
 {
-  cxxtools::EventLoop mLoop;
-  std::unique_ptr<cxxtools::http::Service> mService;
-  std::unique_ptr<cxxtools::http::Server> mServer;
-  std::thread mThread;
-
-  void Start(const Endpoint& aEndpoint,
-             unsigned aThreads,
-             std::unique_ptr<cxxtools::http::Service> aService)
-  {
-    mService = std::move(aService);
-    mServer = std::make_unique<cxxtools::http::Server>(mLoop);
-    mServer->minThreads(kFirstServerThreads);
-    mServer->maxThreads(aThreads);
-    mServer->addService(cxxtools::Regex(".*"), *mService);
-    mServer->listen(aEndpoint.mHost, aEndpoint.mPort);
-    mThread = std::thread([this] { mLoop.run(); });
-  }
-
-  ~HttpServer()
-  {
-    if (mThread.joinable()) {
-      mLoop.exit();
-      mThread.join();
-    }
+  NodeIdentity identity;
+  identity.mSelf = NodeId(FormatEndpoint(aSettings.mPeer));
+  identity.mZone = aSettings.mZone;
+  identity.mEnvironment = aSettings.mEnvironment;
+  identity.mVmGroup = aSettings.mVmGroup;
+  // The time of the start in ms: a later process has a higher one.
+  auto wall = std::chrono::system_clock::now().time_since_epoch();
+  identity.mIncarnation = static_cast<std::uint64_t>(
+    std::chrono::duration_cast<milliseconds>(wall).count());
+  identity.mSeed = Hash64(identity.mSelf.mValue, identity.mIncarnation);
+  identity.mSource = aSource;
+  identity.mStopWithin = aSettings.mStopWithin;
+  for (const Endpoint& it : aSettings.mSeeds) {
+    identity.mSeeds.emplace_back(
+      FormatEndpoint({ it.mHost, aSettings.mPeer.mPort }));
   }
-};
+  return identity;
+}
 
 } // namespace
 
 struct NodeRuntime::Impl
 {
+  boost::asio::io_context mLoop{ 1 };
   Settings mSettings;
-  std::mutex mMutex;
+  PlatformAdapter mAdapter;
+  Reload mReload;
   NodeState mState;
+  EventLog mLog;
+  boost::asio::signal_set mSignals;
+  boost::asio::steady_timer mTickTimer;
+  boost::asio::steady_timer mSweepTimer;
+  PlatformPort mPlatform;
   std::unique_ptr<PeerLinks> mLinks;
-  OpenCallers mCallers;
-  TargetClient mTargets;
-  WorkQueue mPlatformWork;
-  WorkQueue mCancelWork;
-  std::vector<std::thread> mWorkers;
-  std::thread mTicker;
-  std::condition_variable mStopSignal;
+  std::unique_ptr<CallerServer> mCallers;
+  std::vector<std::unique_ptr<HttpServer>> mAdminServers;
+  /** Events that effects have caused, in order: effects of one event are all
+   * carried out before the next event. */
+  std::vector<Event> mQueued;
+  bool mIsStepping = false;
+  bool mIsStopping = false;
   bool mIsStopped = false;
-  bool mIsClosing = false;
-  HttpServer mCallerServer;
-  HttpServer mAdminServer;
+  LogOffset mLimitsOffset = 0;
+  TimePoint mStoppedAt{};
+  LoopCounters mCounters;
 
-  explicit Impl(const Settings& aSettings)
+  Impl(const Settings& aSettings, PlatformAdapter aAdapter, Reload aReload)
     : mSettings(aSettings)
-    , mState(NodeState::Make(IdentityOf(aSettings), Now()))
+    , mAdapter(std::move(aAdapter))
+    , mReload(std::move(aReload))
+    , mState(
+        NodeState::Make(IdentityOf(aSettings, mAdapter.mConfigSource), Now()))
+    , mLog(EventLog::Make({ mState.mIdentity.mSelf.mValue,
+                            aSettings.mZone.mValue,
+                            mState.mIdentity.mIncarnation },
+                          STDOUT_FILENO))
+    , mSignals(mLoop, SIGTERM, SIGINT, SIGHUP)
+    , mTickTimer(mLoop)
+    , mSweepTimer(mLoop)
   {
   }
 
-  static TimePoint Now()
+  void Write(int aNumber, std::string aText)
   {
-    auto now = std::chrono::steady_clock::now().time_since_epoch();
-    return TimePoint(std::chrono::duration_cast<Duration>(now));
+    mLog.Write(Now(), { aNumber, std::move(aText) });
   }
 
-  static NodeIdentity IdentityOf(const Settings& aSettings)
+  void Post(Event aEvent)
   {
-    NodeIdentity identity;
-    identity.mSelf = NodeId(aSettings.mPeer.mHost + ":" +
-                            std::to_string(aSettings.mPeer.mPort));
-    identity.mZone = aSettings.mZone;
-    identity.mEnvironment = aSettings.mEnvironment;
-    identity.mVmGroup = aSettings.mVmGroup;
-    // The time of the start in ms: a later process has a higher one.
-    auto wall = std::chrono::system_clock::now().time_since_epoch();
-    identity.mIncarnation = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(wall).count());
-    identity.mSeed = Hash64(identity.mSelf.mValue, identity.mIncarnation);
-    return identity;
+    mQueued.push_back(std::move(aEvent));
+    if (mIsStepping) {
+      return;
+    }
+    mIsStepping = true;
+    for (std::size_t i = 0; i < mQueued.size(); ++i) {
+      Event event = std::move(mQueued[i]);
+      for (Effect& it : Step(mState, Now(), event)) {
+        std::visit([this](auto& aEffect) { Run(aEffect); }, it);
+      }
+    }
+    mQueued.clear();
+    mIsStepping = false;
+    TakeLimits();
+    // A request that has come in shortens the pause until the next tick.
+    if (IsBusy(mState) && mTickTimer.expiry() > NextBusyTick()) {
+      ArmTick();
+    }
   }
 
-  void Post(const Event& aEvent)
+  static SteadyClock::time_point NextBusyTick()
   {
-    std::lock_guard<std::mutex> lock(mMutex);
-    // Effects are carried out under the lock, so that they keep their order;
-    // none of them blocks.
-    for (Effect& it : Step(mState, Now(), aEvent)) {
-      std::visit([this](auto& aEffect) { Run(aEffect); }, it);
-    }
+    return SteadyClock::now() + kTickInterval;
   }
 
   void Run(SendPeer& aEffect) { mLinks->Send(aEffect.mTo, aEffect.mMessage); }
-  void Run(SendToTarget& aEffect) { mCallers.Tell(aEffect.mRequest, aEffect); }
-  void Run(AnswerCaller& aEffect)
+  void Run(SendToTarget& aEffect) { mCallers->Run(aEffect); }
+  void Run(AnswerCaller& aEffect) { mCallers->Run(aEffect); }
+  void Run(CancelAtTarget& aEffect) { mCallers->Run(aEffect); }
+  void Run(AppendLog& aEffect) { CallPlatform(std::move(aEffect)); }
+  void Run(ReadLog& aEffect) { CallPlatform(std::move(aEffect)); }
+  void Run(ReadVmList& aEffect) { CallPlatform(aEffect); }
+  void Run(ReadFeed& aEffect) { CallPlatform(std::move(aEffect)); }
+  void Run(WriteEvent& aEffect) { mLog.Write(Now(), aEffect); }
+  void Run(Stop& /*aEffect*/)
+  {
+    mIsStopped = true;
+    mStoppedAt = Now();
+  }
+
+  void CallPlatform(PlatformCall aCall)
   {
-    RequestId request = aEffect.mRequest;
-    mCallers.Tell(request, std::move(aEffect));
+    ++mCounters.mPlatformCalls[aCall.index()];
+    mPlatform.mCall(std::move(aCall));
   }
-  void Run(CancelAtTarget& aEffect)
+
+  /** Limits for callers may come with a new document. */
+  void TakeLimits()
   {
-    TargetId target = mCallers.TargetOf(aEffect.mRequest);
-    if (target.mValue.empty()) {
+    const ConfigState& config = mState.mConfig.mConfig;
+    if (config.mOffset == mLimitsOffset || !config.mDocument.mLimits) {
       return;
     }
-    mCancelWork.Push([this, target, name = NameOf(aEffect.mRequest)] {
-      TargetRequest request;
-      request.mMethod = "POST";
-      request.mPath = "/cancel";
-      request.mQuery = "request=" + name;
-      mTargets.Send(target, request, milliseconds(500), true);
-    });
+    mLimitsOffset = config.mOffset;
+    mCallers->SetLimits(*config.mDocument.mLimits);
   }
-  void Run(AppendLog& aEffect)
+
+  void ArmTick()
   {
-    mPlatformWork.Push([this, effect = std::move(aEffect)] {
-      LogAppended event;
-      event.mStream = effect.mStream;
-      event.mToken = effect.mToken;
-      event.mOutcome = Client().Append(effect.mStream, effect.mPayload);
-      Post(event);
+    mTickTimer.expires_after(IsBusy(mState) ? kTickInterval
+                                            : kIdleTickInterval);
+    auto due = mTickTimer.expiry();
+    mTickTimer.async_wait([this, due](const error_code& aError) {
+      if (aError) {
+        return;
+      }
+      auto lag = SteadyClock::now() - due;
+      mCounters.mLongestLag = std::max(
+        mCounters.mLongestLag, std::chrono::duration_cast<Duration>(lag));
+      // The next pause counts from here: work that is late is not made up for.
+      mTickTimer.expires_after(std::chrono::hours(1));
+      Post(Tick{});
+      mLog.Flush(Now());
+      StopIfDone();
+      ArmTick();
     });
   }
-  void Run(ReadLog& aEffect)
+
+  void ArmSweep()
   {
-    mPlatformWork.Push([this, effect = std::move(aEffect)] {
-      Post(Client().Read(effect.mStream, effect.mAfter));
+    mSweepTimer.expires_after(kSweepInterval);
+    mSweepTimer.async_wait([this](const error_code& aError) {
+      if (!aError) {
+        mCallers->CloseIdleTargets();
+        ArmSweep();
+      }
     });
   }
-  void Run(ReadVmList& /*aEffect*/)
-  {
-    mPlatformWork.Push([this] { Post(Client().ReadVms()); });
-  }
-  void Run(WriteEvent& aEffect)
-  {
-    LOG(INFO) << "event=" << aEffect.mNumber << " " << aEffect.mText;
-  }
-  void Run(Stop& /*aEffect*/)
+
+  void ArmSignals()
   {
-    mIsStopped = true;
-    mStopSignal.notify_all();
+    mSignals.async_wait([this](const error_code& aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        ReloadSettings();
+      } else if (!mIsStopping) {
+        mIsStopping = true;
+        mCallers->BeginClosing();
+        Post(ShutdownRequested{});
+        ArmTick();
+      }
+      ArmSignals();
+    });
   }
 
-  /** The platform client of the calling worker thread. */
-  PlatformClient& Client()
+  /** Addresses are kept: they can't change while requests are in progress. */
+  void ReloadSettings()
   {
-    thread_local std::unique_ptr<PlatformClient> sClient;
-    if (!sClient) {
-      sClient = PlatformClient::Make(mSettings.mPlatform);
+    auto settings = mReload();
+    if (!settings) {
+      Write(kEventReloaded,
+            "outcome=refused reason=\"" + settings.error() + "\"");
+      return;
     }
-    return *sClient;
+    mSettings = *settings;
+    Write(kEventReloaded, "outcome=done");
   }
 
-  std::string NameOf(RequestId aRequest) const
+  /** Ends the loop when the core has stopped and its answers are on their way.
+   */
+  void StopIfDone()
   {
-    const NodeIdentity& identity = mState.mIdentity;
-    return identity.mSelf.mValue + "/" + std::to_string(identity.mIncarnation) +
-           "/" + std::to_string(aRequest);
+    if (!mIsStopped) {
+      return;
+    }
+    mCallers->CloseIdleCallers(kIdleBeforeClose);
+    bool isFlushed =
+      mCallers->CountUnwritten() == 0 && Now() - mStoppedAt >= kFlushTime;
+    bool isLate = Now() - mStoppedAt >= kIdleBeforeClose * 2;
+    if (isFlushed || isLate) {
+      Write(kEventStopped, "");
+      mLog.Flush(Now());
+      mLoop.stop();
+    }
   }
 
-  void TickAll()
+  HttpResponse AdminPage(const std::string& aTarget)
   {
-    auto next = std::chrono::steady_clock::now();
-    for (int n = 0;; ++n) {
-      {
-        std::unique_lock<std::mutex> lock(mMutex);
-        next = std::max(next + kTickInterval, std::chrono::steady_clock::now());
-        mStopSignal.wait_until(lock, next, [&] { return mIsClosing; });
-        if (mIsClosing) {
-          return;
-        }
-      }
-      Post(Tick{});
-      if (n % kTicksPerSocketCheck == 0) {
-        for (RequestId it : mCallers.FindGone()) {
-          Post(CallerGone{ it });
-        }
-      }
+    HttpResponse response;
+    response.mStatus = kStatusOk;
+    std::string path = aTarget.substr(0, aTarget.find('?'));
+    if (path == "/live") {
+      response.mBody = "live\n";
+    } else if (path == "/ready") {
+      bool isReady = IsReady(mState, Now());
+      response.mStatus = isReady ? kStatusOk : kStatusUnavailable;
+      response.mBody = isReady ? "ready\n" : "not ready\n";
+    } else if (path == "/status") {
+      response.mBody = ReportStatus(mState, Now()) + "\n";
+    } else if (path == "/metrics") {
+      response.mBody = Metrics();
+    } else {
+      response.mStatus = kStatusNotFound;
     }
+    return response;
   }
 
-  void StartWorkers(WorkQueue& aQueue, std::size_t aCount)
+  std::string Metrics()
   {
-    for (std::size_t i = 0; i < aCount; ++i) {
-      mWorkers.emplace_back([&aQueue] {
-        while (auto job = aQueue.Pop()) {
-          job();
-        }
-      });
-    }
+    mCounters.mOpenRequests = mCallers->CountOpen();
+    mCounters.mCallerConnections = mCallers->CountConnections();
+    mCounters.mTargetConnects = mCallers->Targets().CountConnects();
+    mCounters.mKeptTargetConnections = mCallers->Targets().CountKept();
+    mCounters.mLogLines = mLog.Written();
+    mCounters.mLogDropped = mLog.Dropped();
+    return ReportMetrics(mState, mLinks->Counters(), mCounters, Now());
   }
 
-  std::map<std::string, AdminService::Page> AdminPages()
+  tl::expected<void, std::string> ServeAdmin(const Endpoint& aEndpoint)
   {
-    auto locked = [this](auto aPage) {
-      return [this, aPage] {
-        std::lock_guard<std::mutex> lock(mMutex);
-        return aPage();
+    HttpServerHooks hooks;
+    std::size_t index = mAdminServers.size();
+    hooks.mReceive =
+      [this, index](RequestId aId,
+                    const std::shared_ptr<const HttpRequest>& aRequest) {
+        mAdminServers[index]->Answer(aId, AdminPage(aRequest->mTarget));
       };
+    hooks.mGone = [](RequestId) {};
+    hooks.mRefuse = [](HttpProgress) {
+      HttpResponse response;
+      response.mStatus = 400;
+      response.mKeepsAlive = false;
+      return response;
     };
-    using Result = std::pair<unsigned, std::string>;
-    return {
-      { "/live", [] { return Result(kStatusOk, "live\n"); } },
-      { "/ready", locked([this] {
-          return IsReady(mState, Now()) ? Result(kStatusOk, "ready\n")
-                                        : Result(503, "not ready\n");
-        }) },
-      { "/status", locked([this] {
-          return Result(kStatusOk, ReportStatus(mState, Now()) + "\n");
-        }) },
-      { "/metrics", locked([this] {
-          return Result(
-            kStatusOk,
-            ReportMetrics(mState, mLinks->Counters(), mCallers.Count()));
-        }) },
-    };
+    auto server = HttpServer::Make(mLoop, aEndpoint, {}, std::move(hooks));
+    if (!server) {
+      return tl::make_unexpected(server.error());
+    }
+    mAdminServers.push_back(std::move(*server));
+    return {};
   }
 
-  void StartServers()
+  tl::expected<void, std::string> Open()
   {
+    mPlatform =
+      mAdapter.mOpen(mLoop, mSettings.mPlatform, [this](Event aEvent) {
+        Post(std::move(aEvent));
+      });
+    auto links = PeerLinks::Make(mLoop,
+                                 mSettings.mPeer,
+                                 mSettings.mEnvironment,
+                                 [this](Envelope aEnvelope) {
+                                   Post(PeerReceived{ std::move(aEnvelope) });
+                                 });
+    if (!links) {
+      return tl::make_unexpected(links.error());
+    }
+    mLinks = std::move(*links);
     CallerHooks hooks;
-    hooks.mPost = [this](const Event& aEvent) { Post(aEvent); };
+    hooks.mPost = [this](Event aEvent) { Post(std::move(aEvent)); };
     hooks.mNameRequest = [this](RequestId aRequest) {
-      return NameOf(aRequest);
+      const NodeIdentity& identity = mState.mIdentity;
+      return identity.mSelf.mValue + "/" +
+             std::to_string(identity.mIncarnation) + "/" +
+             std::to_string(aRequest);
     };
-    hooks.mMaxBodyBytes = mSettings.mMaxBodyBytes;
-    mAdminServer.Start(mSettings.mAdmin,
-                       kAdminThreads,
-                       std::make_unique<AdminService>(AdminPages()));
-    mCallerServer.Start(
-      mSettings.mListen,
-      mSettings.mMaxCallers,
-      MakeCallerService(mCallers, mTargets, std::move(hooks)));
+    hooks.mTimeUntil = [](TimePoint aTime) { return aTime - Now(); };
+    auto callers =
+      CallerServer::Make(mLoop, mSettings, mAdapter, std::move(hooks));
+    if (!callers) {
+      return tl::make_unexpected(callers.error());
+    }
+    mCallers = std::move(*callers);
+    auto admin = ServeAdmin(mSettings.mAdmin);
+    if (admin && mSettings.mReady.mPort != 0) {
+      admin = ServeAdmin(mSettings.mReady);
+    }
+    return admin;
   }
 
-  void Close()
+  void Start()
   {
-    {
-      std::lock_guard<std::mutex> lock(mMutex);
-      mIsClosing = true;
-      mStopSignal.notify_all();
-    }
-    if (mTicker.joinable()) {
-      mTicker.join();
-    }
-    mPlatformWork.Close();
-    mCancelWork.Close();
-    for (std::thread& it : mWorkers) {
-      it.join();
-    }
-    mWorkers.clear();
+    Write(kEventStarted,
+          "environment=" + mSettings.mEnvironment +
+            " listen=" + FormatEndpoint(mSettings.mListen) +
+            " admin=" + FormatEndpoint(mSettings.mAdmin) +
+            " platform=" + FormatEndpoint(mSettings.mPlatform) + " seeds=" +
+            std::to_string(mSettings.mSeeds.size()) + " stop_within_ms=" +
+            std::to_string(mSettings.mStopWithin / milliseconds(1)) +
+            " max_callers=" + std::to_string(mSettings.mMaxCallers));
+    ArmSignals();
+    ArmSweep();
+    Post(Tick{});
+    ArmTick();
   }
 };
 
@@ -383,63 +371,27 @@
 {
 }
 
-NodeRuntime::~NodeRuntime()
-{
-  mImpl->Close();
-}
+NodeRuntime::~NodeRuntime() = default;
 
 tl::expected<std::unique_ptr<NodeRuntime>, std::string>
-NodeRuntime::Make(const Settings& aSettings)
+NodeRuntime::Make(const Settings& aSettings,
+                  PlatformAdapter aAdapter,
+                  Reload aReload)
 {
-  auto impl = std::make_unique<Impl>(aSettings);
-  Impl* raw = impl.get();
-  auto links = PeerLinks::Make(
-    aSettings.mPeer, aSettings.mEnvironment, [raw](Envelope aEnvelope) {
-      raw->Post(PeerReceived{ std::move(aEnvelope) });
-    });
-  if (!links) {
-    return tl::make_unexpected(links.error());
-  }
-  {
-    std::lock_guard<std::mutex> lock(raw->mMutex);
-    raw->mLinks = std::move(*links);
-  }
-  try {
-    raw->StartServers();
-  } catch (const std::exception& e) {
-    return tl::make_unexpected(std::string("can't listen: ") + e.what());
+  auto impl =
+    std::make_unique<Impl>(aSettings, std::move(aAdapter), std::move(aReload));
+  auto opened = impl->Open();
+  if (!opened) {
+    return tl::make_unexpected(opened.error());
   }
-  raw->StartWorkers(raw->mPlatformWork, kPlatformThreads);
-  raw->StartWorkers(raw->mCancelWork, kCancelThreads);
-  raw->mTicker = std::thread([raw] { raw->TickAll(); });
-  LOG(INFO) << "event=" << kEventStarted
-            << " node=" << raw->mState.mIdentity.mSelf.mValue
-            << " zone=" << aSettings.mZone.mValue
-            << " environment=" << aSettings.mEnvironment;
   return std::unique_ptr<NodeRuntime>(new NodeRuntime(std::move(impl)));
 }
 
 void
-NodeRuntime::RequestShutdown()
-{
-  mImpl->Post(ShutdownRequested{});
-}
-
-void
-NodeRuntime::AwaitStop()
+NodeRuntime::Run()
 {
-  {
-    std::unique_lock<std::mutex> lock(mImpl->mMutex);
-    mImpl->mStopSignal.wait(lock, [&] { return mImpl->mIsStopped; });
-    // Answers are decided by now; they still have to reach their callers.
-    while (mImpl->mCallers.CountInServer() > 0) {
-      mImpl->mStopSignal.wait_for(lock, kTickInterval);
-    }
-    mImpl->mStopSignal.wait_for(
-      lock, kFlushTime, [&] { return mImpl->mIsClosing; });
-  }
-  mImpl->Close();
-  LOG(INFO) << "event=" << kEventStopped;
+  mImpl->Start();
+  mImpl->mLoop.run();
 }
 
 } // namespace vanillascale
--- a/src/PeerLinks.cpp
+++ b/src/PeerLinks.cpp
@@ -1,133 +1,344 @@
 #include "PeerLinks.h"
 
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/pull.h>
-#include <nng/protocol/pipeline0/push.h>
+#include "HttpExchange.h"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <unordered_map>
 
 namespace vanillascale {
 
 namespace {
 
-constexpr int kSendQueueMessages = 128;
-constexpr int kReceiveQueueMessages = 512;
-constexpr std::size_t kLargestMessageBytes = 16UL * 1024 * 1024;
-constexpr nng_duration kFirstReconnectMs = 20;
-constexpr nng_duration kLastReconnectMs = 500;
+using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
+using boost::system::error_code;
+
+/** Fits one packet of an Ethernet without fragments. */
+constexpr std::size_t kLargestDatagram = 1400;
+constexpr std::size_t kLargestMessage = 16UL * 1024 * 1024;
+/** Large messages that are under way at once, each way. */
+constexpr std::size_t kMostTransfers = 64;
+constexpr Duration kTransferTime = std::chrono::seconds(3);
+constexpr std::size_t kLengthBytes = 4;
+/** Datagrams taken in before other work gets its turn. */
+constexpr int kDatagramsAtOnce = 32;
+constexpr int kReceiveBufferBytes = 256 * 1024;
 
 std::string
-UrlOf(const std::string& aAddress)
+LengthPrefix(std::size_t aLength)
 {
-  return "tcp://" + aAddress;
+  std::string bytes;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    bytes += static_cast<char>(aLength >> (8 * (kLengthBytes - 1 - i)));
+  }
+  return bytes;
 }
 
-nng_socket
-SocketOf(std::uint32_t aId)
+std::size_t
+ReadLength(const std::string& aBytes)
 {
-  nng_socket socket;
-  socket.id = aId;
-  return socket;
+  std::size_t length = 0;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    length = length << 8 | static_cast<unsigned char>(aBytes[i]);
+  }
+  return length;
 }
 
-} // namespace
+/** One large message on its own connection. */
+struct Transfer
+{
+  explicit Transfer(boost::asio::io_context& aLoop)
+    : mSocket(aLoop)
+    , mTimer(aLoop)
+  {
+  }
+
+  tcp::socket mSocket;
+  boost::asio::steady_timer mTimer;
+  std::string mBytes;
+};
 
-PeerLinks::PeerLinks(std::string aCluster, NodeId aSelf, Receiver aReceiver)
-  : mCluster(std::move(aCluster))
-  , mSelf(std::move(aSelf))
-  , mReceiver(std::move(aReceiver))
+/** Closes a transfer's connection when its time is up. */
+void
+BoundTransfer(const std::shared_ptr<Transfer>& aTransfer)
 {
+  aTransfer->mTimer.expires_after(kTransferTime);
+  aTransfer->mTimer.async_wait([aTransfer](const error_code& aError) {
+    if (!aError) {
+      error_code ec;
+      aTransfer->mSocket.close(ec);
+    }
+  });
 }
 
-tl::expected<std::unique_ptr<PeerLinks>, std::string>
-PeerLinks::Make(const Endpoint& aEndpoint,
-                std::string aCluster,
-                Receiver aReceiver)
+} // namespace
+
+struct PeerLinks::Impl : std::enable_shared_from_this<PeerLinks::Impl>
 {
-  std::string address = aEndpoint.mHost + ":" + std::to_string(aEndpoint.mPort);
-  std::unique_ptr<PeerLinks> links(
-    new PeerLinks(std::move(aCluster), NodeId(address), std::move(aReceiver)));
-  nng_socket listener;
-  int ec = nng_pull0_open(&listener);
-  if (ec == 0) {
-    links->mListener = listener.id;
-    nng_socket_set_int(listener, NNG_OPT_RECVBUF, kReceiveQueueMessages);
-    nng_socket_set_size(listener, NNG_OPT_RECVMAXSZ, kLargestMessageBytes);
-    ec = nng_listen(listener, UrlOf(address).c_str(), nullptr, 0);
-  }
-  if (ec != 0) {
-    return tl::make_unexpected("can't listen for peers at " + address + ": " +
-                               nng_strerror(ec));
+  Impl(boost::asio::io_context& aLoop,
+       std::string aCluster,
+       NodeId aSelf,
+       Receiver aReceiver)
+    : mLoop(aLoop)
+    , mCluster(std::move(aCluster))
+    , mSelf(std::move(aSelf))
+    , mReceiver(std::move(aReceiver))
+    , mDatagrams(aLoop)
+    , mAcceptor(aLoop)
+  {
   }
-  links->mThread = std::thread([raw = links.get()] { raw->ReceiveAll(); });
-  return links;
-}
 
-PeerLinks::~PeerLinks()
-{
-  if (mListener != 0) {
-    nng_close(SocketOf(mListener));
+  void Listen(const Endpoint& aEndpoint)
+  {
+    auto address = boost::asio::ip::make_address_v4(aEndpoint.mHost);
+    mDatagrams.open(udp::v4());
+    mDatagrams.bind({ address, aEndpoint.mPort });
+    mDatagrams.non_blocking(true);
+    error_code ec;
+    mDatagrams.set_option(udp::socket::receive_buffer_size(kReceiveBufferBytes),
+                          ec);
+    mAcceptor.open(tcp::v4());
+    mAcceptor.set_option(tcp::acceptor::reuse_address(true));
+    mAcceptor.bind({ address, aEndpoint.mPort });
+    mAcceptor.listen();
+    AwaitDatagrams();
+    Accept();
+  }
+
+  void Close()
+  {
+    mIsClosed = true;
+    error_code ec;
+    mDatagrams.close(ec);
+    mAcceptor.close(ec);
   }
-  if (mThread.joinable()) {
-    mThread.join();
+
+  void Take(std::string_view aBytes)
+  {
+    ++mCounters.mReceivedMessages;
+    mCounters.mReceivedBytes += aBytes.size();
+    auto envelope = Decode(mCluster, aBytes);
+    if (envelope) {
+      mReceiver(std::move(*envelope));
+    } else {
+      ++mCounters.mUnreadable;
+    }
   }
-  for (const auto& [node, id] : mPeers) {
-    nng_close(SocketOf(id));
+
+  void AwaitDatagrams()
+  {
+    mDatagrams.async_wait(
+      udp::socket::wait_read,
+      [self = shared_from_this()](const error_code& aError) {
+        if (!aError && !self->mIsClosed) {
+          self->ReceiveDatagrams();
+          self->AwaitDatagrams();
+        }
+      });
   }
-}
 
-void
-PeerLinks::Send(const NodeId& aTo, const Message& aMessage)
-{
-  if (aTo.mValue.empty()) {
-    ++mCounters.mDropped;
-    return;
-  }
-  auto it = mPeers.find(aTo);
-  if (it == mPeers.end()) {
-    nng_socket socket;
-    if (nng_push0_open(&socket) != 0) {
+  void ReceiveDatagrams()
+  {
+    for (int i = 0; i < kDatagramsAtOnce && !mIsClosed; ++i) {
+      error_code ec;
+      std::size_t n = mDatagrams.receive(boost::asio::buffer(mBuffer), 0, ec);
+      if (ec == boost::asio::error::would_block) {
+        return;
+      }
+      if (!ec) {
+        Take({ mBuffer.data(), n });
+      }
+    }
+  }
+
+  void Accept()
+  {
+    auto transfer = std::make_shared<Transfer>(mLoop);
+    mAcceptor.async_accept(
+      transfer->mSocket,
+      [self = shared_from_this(), transfer](const error_code& aError) {
+        if (aError == boost::asio::error::operation_aborted ||
+            self->mIsClosed) {
+          return;
+        }
+        if (!aError && self->mIncoming < kMostTransfers) {
+          self->ReadTransfer(transfer);
+        }
+        self->Accept();
+      });
+  }
+
+  void ReadTransfer(const std::shared_ptr<Transfer>& aTransfer)
+  {
+    ++mIncoming;
+    BoundTransfer(aTransfer);
+    aTransfer->mBytes.resize(kLengthBytes);
+    boost::asio::async_read(aTransfer->mSocket,
+                            boost::asio::buffer(aTransfer->mBytes),
+                            [self = shared_from_this(),
+                             aTransfer](const error_code& aError, std::size_t) {
+                              std::size_t length =
+                                aError ? 0 : ReadLength(aTransfer->mBytes);
+                              if (length == 0 || length > kLargestMessage) {
+                                self->EndIncoming(aTransfer);
+                                return;
+                              }
+                              self->ReadBody(aTransfer, length);
+                            });
+  }
+
+  void ReadBody(const std::shared_ptr<Transfer>& aTransfer, std::size_t aLength)
+  {
+    aTransfer->mBytes.resize(aLength);
+    boost::asio::async_read(aTransfer->mSocket,
+                            boost::asio::buffer(aTransfer->mBytes),
+                            [self = shared_from_this(),
+                             aTransfer](const error_code& aError, std::size_t) {
+                              if (!aError && !self->mIsClosed) {
+                                self->Take(aTransfer->mBytes);
+                              }
+                              self->EndIncoming(aTransfer);
+                            });
+  }
+
+  void EndIncoming(const std::shared_ptr<Transfer>& aTransfer)
+  {
+    --mIncoming;
+    aTransfer->mTimer.cancel();
+    error_code ec;
+    aTransfer->mSocket.close(ec);
+  }
+
+  void SendLarge(const Endpoint& aTo, std::string aBytes)
+  {
+    if (mOutgoing >= kMostTransfers) {
       ++mCounters.mDropped;
       return;
     }
-    nng_socket_set_int(socket, NNG_OPT_SENDBUF, kSendQueueMessages);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, kFirstReconnectMs);
-    nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, kLastReconnectMs);
-    nng_dial(socket, UrlOf(aTo.mValue).c_str(), nullptr, NNG_FLAG_NONBLOCK);
-    it = mPeers.emplace(aTo, socket.id).first;
-  }
-  std::string bytes = Encode(mCluster, { mSelf, aMessage });
-  int ec = nng_send(
-    SocketOf(it->second), bytes.data(), bytes.size(), NNG_FLAG_NONBLOCK);
-  if (ec != 0) {
-    ++mCounters.mDropped;
-    return;
-  }
-  ++mCounters.mSentMessages;
-  mCounters.mSentBytes += bytes.size();
-}
+    ++mOutgoing;
+    auto transfer = std::make_shared<Transfer>(mLoop);
+    transfer->mBytes = LengthPrefix(aBytes.size()) + aBytes;
+    BoundTransfer(transfer);
+    transfer->mSocket.async_connect(
+      ToTcp(aTo),
+      [self = shared_from_this(), transfer](const error_code& aError) {
+        if (aError) {
+          self->EndOutgoing(transfer, false);
+          return;
+        }
+        TuneSocket(transfer->mSocket);
+        boost::asio::async_write(
+          transfer->mSocket,
+          boost::asio::buffer(transfer->mBytes),
+          [self, transfer](const error_code& aFailed, std::size_t) {
+            self->EndOutgoing(transfer, !aFailed);
+          });
+      });
+  }
 
-void
-PeerLinks::ReceiveAll()
-{
-  for (;;) {
-    void* data = nullptr;
-    std::size_t n = 0;
-    int ec = nng_recv(SocketOf(mListener), &data, &n, NNG_FLAG_ALLOC);
-    if (ec == NNG_ECLOSED) {
-      return;
+  void EndOutgoing(const std::shared_ptr<Transfer>& aTransfer, bool aIsSent)
+  {
+    --mOutgoing;
+    mCounters.mDropped += aIsSent ? 0 : 1;
+    aTransfer->mTimer.cancel();
+    error_code ec;
+    aTransfer->mSocket.shutdown(tcp::socket::shutdown_send, ec);
+    aTransfer->mSocket.close(ec);
+  }
+
+  const Endpoint* EndpointOf(const NodeId& aNode)
+  {
+    auto it = mEndpoints.find(aNode);
+    if (it == mEndpoints.end()) {
+      auto endpoint = ParseEndpoint(aNode.mValue);
+      if (!endpoint) {
+        return nullptr;
+      }
+      it = mEndpoints.emplace(aNode, *endpoint).first;
     }
-    if (ec != 0) {
-      continue;
+    return &it->second;
+  }
+
+  void Send(const NodeId& aTo, const Message& aMessage)
+  {
+    const Endpoint* endpoint = EndpointOf(aTo);
+    if (!endpoint || mIsClosed) {
+      ++mCounters.mDropped;
+      return;
     }
-    ++mCounters.mReceivedMessages;
-    mCounters.mReceivedBytes += n;
-    auto envelope = Decode(mCluster, { static_cast<const char*>(data), n });
-    nng_free(data, n);
-    if (envelope) {
-      mReceiver(std::move(*envelope));
-    } else {
-      ++mCounters.mUnreadable;
+    std::string bytes = Encode(mCluster, { mSelf, aMessage });
+    ++mCounters.mSentMessages;
+    mCounters.mSentBytes += bytes.size();
+    if (bytes.size() > kLargestDatagram) {
+      SendLarge(*endpoint, std::move(bytes));
+      return;
     }
+    error_code ec;
+    mDatagrams.send_to(
+      boost::asio::buffer(bytes),
+      { boost::asio::ip::make_address_v4(endpoint->mHost), endpoint->mPort },
+      0,
+      ec);
+    mCounters.mDropped += ec ? 1 : 0;
+  }
+
+  boost::asio::io_context& mLoop;
+  std::string mCluster;
+  NodeId mSelf;
+  Receiver mReceiver;
+  udp::socket mDatagrams;
+  tcp::acceptor mAcceptor;
+  std::array<char, 64UL * 1024> mBuffer{};
+  std::unordered_map<NodeId, Endpoint> mEndpoints;
+  std::size_t mIncoming = 0;
+  std::size_t mOutgoing = 0;
+  bool mIsClosed = false;
+  PeerLinkCounters mCounters;
+};
+
+PeerLinks::PeerLinks(std::shared_ptr<Impl> aImpl)
+  : mImpl(std::move(aImpl))
+{
+}
+
+PeerLinks::~PeerLinks()
+{
+  mImpl->Close();
+}
+
+tl::expected<std::unique_ptr<PeerLinks>, std::string>
+PeerLinks::Make(boost::asio::io_context& aLoop,
+                const Endpoint& aEndpoint,
+                const std::string& aCluster,
+                Receiver aReceiver)
+{
+  std::string address = aEndpoint.mHost + ":" + std::to_string(aEndpoint.mPort);
+  auto impl = std::make_shared<Impl>(
+    aLoop, aCluster, NodeId(address), std::move(aReceiver));
+  try {
+    impl->Listen(aEndpoint);
+  } catch (const std::exception& e) {
+    return tl::make_unexpected("can't listen for peers at " + address + ": " +
+                               e.what());
   }
+  return std::unique_ptr<PeerLinks>(new PeerLinks(std::move(impl)));
+}
+
+void
+PeerLinks::Send(const NodeId& aTo, const Message& aMessage)
+{
+  mImpl->Send(aTo, aMessage);
+}
+
+const PeerLinkCounters&
+PeerLinks::Counters() const
+{
+  return mImpl->mCounters;
 }
 
 } // namespace vanillascale
--- a/src/PlatformClient.cpp
+++ b/src/PlatformClient.cpp
@@ -1,8 +1,5 @@
 #include "PlatformClient.h"
 
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
 #include <nlohmann/json.hpp>
 
 namespace vanillascale {
@@ -13,51 +10,131 @@
 
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusUnavailable = 503;
+constexpr Duration kCallTimeout = std::chrono::seconds(3);
 
-cxxtools::Milliseconds
-CallTimeout()
+StoreCall
+AppendCall(const std::string& aStream, const std::string& aPayload)
 {
-  return cxxtools::Seconds(3);
+  return { "POST", "/log/" + aStream, aPayload, kCallTimeout, {} };
 }
 
-} // namespace
+StoreCall
+ReadCall(const std::string& aStream, LogOffset aAfter)
+{
+  return { "GET",
+           "/log/" + aStream + "?after=" + std::to_string(aAfter),
+           "",
+           kCallTimeout,
+           {} };
+}
 
-struct PlatformClient::Impl
+StoreCall
+VmListCall()
+{
+  return { "GET", "/vms", "", kCallTimeout, {} };
+}
+
+AppendOutcome
+OutcomeOf(const StoreReply& aReply)
+{
+  if (aReply.mEnd == ExchangeEnd::ConnectFailed) {
+    return AppendOutcome::Refused;
+  }
+  if (aReply.mEnd != ExchangeEnd::Complete) {
+    return AppendOutcome::Unknown;
+  }
+  if (aReply.mResponse.mStatus == kStatusOk) {
+    return AppendOutcome::Done;
+  }
+  return aReply.mResponse.mStatus == kStatusUnavailable
+           ? AppendOutcome::Refused
+           : AppendOutcome::Unknown;
+}
+
+bool
+IsOk(const StoreReply& aReply)
+{
+  return aReply.mEnd == ExchangeEnd::Complete &&
+         aReply.mResponse.mStatus == kStatusOk;
+}
+
+LogRead
+ReadOf(const std::string& aStream, const StoreReply& aReply)
+{
+  LogRead failed;
+  failed.mStream = aStream;
+  return IsOk(aReply) ? ParseLogRead(aStream, aReply.mResponse.mBody) : failed;
+}
+
+VmListRead
+VmsOf(const StoreReply& aReply)
+{
+  return IsOk(aReply) ? ParseVmList(aReply.mResponse.mBody) : VmListRead{};
+}
+
+/** Makes each kind of call on a connection of its own, so that a slow one does
+ * not hold up the others. */
+struct LogPort
 {
-  Endpoint mPlatform;
-  cxxtools::http::Client mClient;
-  bool mIsConnected = false;
+  std::shared_ptr<StoreConnection> mAppends;
+  std::shared_ptr<StoreConnection> mReads;
+  std::shared_ptr<StoreConnection> mVmLists;
+  std::function<void(Event)> mPost;
 
-  /** Makes sure of a connection; false where the platform can't be reached, so
-   * that nothing can have been sent. */
-  bool Connect()
+  void operator()(const AppendLog& aCall) const
   {
-    if (mIsConnected) {
-      return true;
-    }
-    try {
-      mClient.prepareConnect(mPlatform.mHost, mPlatform.mPort);
-      mClient.connect();
-      mIsConnected = true;
-    } catch (const std::exception&) {
-      mClient.close();
-    }
-    return mIsConnected;
+    mAppends->Call(AppendCall(aCall.mStream, aCall.mPayload),
+                   [post = mPost, stream = aCall.mStream, token = aCall.mToken](
+                     const StoreReply& aReply) {
+                     post(LogAppended{ stream, token, OutcomeOf(aReply) });
+                   });
+  }
+  void operator()(const ReadLog& aCall) const
+  {
+    mReads->Call(ReadCall(aCall.mStream, aCall.mAfter),
+                 [post = mPost, stream = aCall.mStream](
+                   const StoreReply& aReply) { post(ReadOf(stream, aReply)); });
+  }
+  void operator()(const ReadVmList& /*aCall*/) const
+  {
+    mVmLists->Call(VmListCall(), [post = mPost](const StoreReply& aReply) {
+      post(VmsOf(aReply));
+    });
   }
+  void operator()(const ReadFeed& aCall) const
+  {
+    // This platform has no keyed topics.
+    FeedRead failed;
+    failed.mTopic = aCall.mTopic;
+    mPost(failed);
+  }
+};
+
+} // namespace
+
+PlatformAdapter
+MakeLogAdapter()
+{
+  PlatformAdapter adapter;
+  adapter.mOpen = [](boost::asio::io_context& aLoop,
+                     const Endpoint& aPlatform,
+                     std::function<void(Event)> aPost) {
+    auto make = [&] { return StoreConnection::Make(aLoop, aPlatform); };
+    LogPort port{ make(), make(), make(), std::move(aPost) };
+    return PlatformPort{ [port](const PlatformCall& aCall) {
+      std::visit(port, aCall);
+    } };
+  };
+  return adapter;
+}
+
+struct PlatformClient::Impl
+{
+  std::unique_ptr<BlockingConnection> mConnection;
 
-  /** Makes a call; 0 where no whole answer came. */
-  unsigned Call(const cxxtools::http::Request& aRequest, std::string& aBody)
+  StoreReply Call(StoreCall aCall)
   {
-    try {
-      mClient.execute(aRequest, CallTimeout(), CallTimeout());
-      mClient.readBody();
-      aBody = mClient.body();
-      return mClient.header().httpReturnCode();
-    } catch (const std::exception&) {
-      mClient.close();
-      mIsConnected = false;
-      return 0;
-    }
+    return mConnection->Call(std::move(aCall));
   }
 };
 
@@ -72,54 +149,26 @@
 PlatformClient::Make(const Endpoint& aPlatform)
 {
   auto impl = std::make_unique<Impl>();
-  impl->mPlatform = aPlatform;
+  impl->mConnection = BlockingConnection::Make(aPlatform);
   return std::unique_ptr<PlatformClient>(new PlatformClient(std::move(impl)));
 }
 
 AppendOutcome
 PlatformClient::Append(const std::string& aStream, const std::string& aPayload)
 {
-  if (!mImpl->Connect()) {
-    return AppendOutcome::Refused;
-  }
-  cxxtools::http::Request request("/log/" + aStream);
-  request.method("POST");
-  request.body() << aPayload;
-  std::string body;
-  unsigned status = mImpl->Call(request, body);
-  if (status == kStatusOk) {
-    return AppendOutcome::Done;
-  }
-  return status == kStatusUnavailable ? AppendOutcome::Refused
-                                      : AppendOutcome::Unknown;
+  return OutcomeOf(mImpl->Call(AppendCall(aStream, aPayload)));
 }
 
 LogRead
 PlatformClient::Read(const std::string& aStream, LogOffset aAfter)
 {
-  LogRead failed;
-  failed.mStream = aStream;
-  if (!mImpl->Connect()) {
-    return failed;
-  }
-  cxxtools::http::Request request("/log/" + aStream);
-  request.qparams("after=" + std::to_string(aAfter));
-  std::string body;
-  if (mImpl->Call(request, body) != kStatusOk) {
-    return failed;
-  }
-  return ParseLogRead(aStream, body);
+  return ReadOf(aStream, mImpl->Call(ReadCall(aStream, aAfter)));
 }
 
 VmListRead
 PlatformClient::ReadVms()
 {
-  cxxtools::http::Request request("/vms");
-  std::string body;
-  if (!mImpl->Connect() || mImpl->Call(request, body) != kStatusOk) {
-    return {};
-  }
-  return ParseVmList(body);
+  return VmsOf(mImpl->Call(VmListCall()));
 }
 
 LogRead
--- a/src/PlatformClient.h
+++ b/src/PlatformClient.h
@@ -1,15 +1,19 @@
 #ifndef VANILLASCALE_PLATFORMCLIENT_H
 #define VANILLASCALE_PLATFORMCLIENT_H
 
-#include "NodeEvents.h"
-#include "Settings.h"
+#include "PlatformPort.h"
 
 #include <memory>
 
 namespace vanillascale {
 
-/** The platform's log and VM list over HTTP. Calls block the calling thread for
- * at most a few seconds; one thread at a time per object. */
+/** The adapter for the product's own platform interface: a log of streams and a
+ * VM list over HTTP. */
+PlatformAdapter
+MakeLogAdapter();
+
+/** The same platform for commands, which wait for each answer. One thread at a
+ * time per object. */
 class PlatformClient
 {
 public:
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr unsigned kMostSends = 3;
 /** A local wait is cut where a scheduler would cut it. */
 constexpr int kLocalPatiencePercent = 9;
 
@@ -86,7 +85,7 @@
            { kStatusBadGateway, RunOutcome::Unknown, kReasonTargetBroke });
     return;
   }
-  if (aRequest.mIsIdempotent) {
+  if (!aRequest.mNeedsIntent) {
     Finish(aState, aContext, aRequest.mId, aVerdict);
     return;
   }
@@ -107,7 +106,7 @@
 bool
 MayRetry(const ProxyContext& aContext, const ProxyRequest& aRequest)
 {
-  return aRequest.mSends < kMostSends && !aRequest.mIsCallerGone &&
+  return aRequest.mSends < aRequest.mAttempts && !aRequest.mIsCallerGone &&
          aContext.mNow < aRequest.mDeadlineAt;
 }
 
@@ -302,8 +301,8 @@
              const CallerRequest& aRequest)
 {
   ++aState.mCounters.mRequests;
-  const Route* route =
-    FindRoute(aContext.mConfig, aRequest.mMethod, aRequest.mPath);
+  const Route* route = FindRoute(
+    aContext.mConfig, aRequest.mMethod, aRequest.mPath, aRequest.mHost);
   if (auto verdict = CheckRequest(aContext, aRequest, route)) {
     CountOutcome(aState, verdict->mOutcome);
     aContext.mEffects.push_back(
@@ -314,10 +313,14 @@
     aState.mRequests
       .emplace(aRequest.mRequest, MakeRequest(aContext, aRequest, *route))
       .first->second;
-  if (request.mIsIdempotent) {
-    AskForLease(aState, aContext, request);
-  } else {
+  if (!route->mShares.empty()) {
+    request.mService = PickShare(
+      aState.mSpreads[route->mName], route->mShares, aContext.mRandom);
+  }
+  if (request.mNeedsIntent) {
     AskForIntent(aState, aContext, request);
+  } else {
+    AskForLease(aState, aContext, request);
   }
 }
 
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -5,6 +5,7 @@
 #include "KeptAnswers.h"
 #include "LocalChoice.h"
 #include "Members.h"
+#include "WeightedSpread.h"
 
 #include <map>
 #include <set>
@@ -31,11 +32,21 @@
 struct ProxyRequest
 {
   RequestId mId = 0;
+  /** The caller's own id, for the log. */
+  std::string mName;
   ServiceName mService;
+  RouteName mRouteName;
   std::uint32_t mRoute = 0;
   std::uint8_t mPriority = 1;
   bool mIsLong = false;
   bool mIsIdempotent = true;
+  /** Its key has to be won in the log before it is sent. */
+  bool mNeedsIntent = false;
+  /** Targets to which it may be sent. */
+  unsigned mAttempts = 3;
+  /** The time within which an answer is of full use. */
+  Duration mGoal{ 0 };
+  TimePoint mReceivedAt{};
   bool mIsFirstAttempt = false;
   RequestKey mKey;
   std::uint64_t mFingerprint = 0;
@@ -77,6 +88,9 @@
 {
   NodeId mScheduler;
   std::uint64_t mMembersVersion = 0;
+  /** Schedulers that did not answer are passed over until then. */
+  std::map<NodeId, TimePoint> mPassedOver;
+  TimePoint mPassOverEndsAt = TimePoint::max();
   TimePoint mHeardAt{};
   /** No scheduler answers: targets are chosen locally. */
   bool mIsFallback = false;
@@ -116,6 +130,7 @@
   /** Requests that own their key, for resends that come to this proxy. */
   std::unordered_map<RequestKey, RequestId> mRunningKeys;
   std::map<ServiceName, SchedulerLink> mLinks;
+  std::unordered_map<RouteName, WeightedSpread> mSpreads;
   std::map<RequestId, AbandonedIntent> mAbandoned;
   KeptAnswers mKept;
   ProxyCounters mCounters;
--- a/src/ProxyAdmission.cpp
+++ b/src/ProxyAdmission.cpp
@@ -29,6 +29,12 @@
   return std::nullopt;
 }
 
+bool
+NeedsKey(const Route& aRoute)
+{
+  return !aRoute.mIdempotent && aRoute.mOncePolicy == OncePolicy::PerKey;
+}
+
 /** What is said of a request that is refused before the log was asked: an
  * earlier send of its key may have run, unless the caller says there is none.
  */
@@ -56,7 +62,7 @@
   if (aRequest.mDeadline && *aRequest.mDeadline <= Duration(0)) {
     return Verdict{ kStatusBadRequest, outcome, kReasonBadDeadline };
   }
-  return aRoute->mIdempotent ? std::nullopt : CheckKey(aRequest);
+  return NeedsKey(*aRoute) ? CheckKey(aRequest) : std::nullopt;
 }
 
 ProxyRequest
@@ -66,16 +72,25 @@
 {
   ProxyRequest request;
   request.mId = aRequest.mRequest;
+  request.mName = aRequest.mName;
+  request.mRouteName = aRoute.mName;
   request.mService = aRoute.mService;
   request.mRoute = static_cast<std::uint32_t>(Hash64(aRoute.mName.mValue));
   request.mPriority = static_cast<std::uint8_t>(aRoute.mPriority);
   request.mIsLong = aRoute.mWork == WorkClass::Long;
   request.mIsIdempotent = aRoute.mIdempotent;
+  request.mNeedsIntent = NeedsKey(aRoute);
+  request.mAttempts = aRoute.mAttempts;
+  request.mGoal = aRoute.mGoal;
+  request.mReceivedAt = aContext.mNow;
   request.mIsFirstAttempt = aRequest.mIsFirstAttempt;
-  request.mKey = RequestKey(aRoute.mIdempotent ? "" : aRequest.mKey);
+  request.mKey = RequestKey(NeedsKey(aRoute) ? aRequest.mKey : "");
   request.mFingerprint = aRequest.mFingerprint;
   request.mAccount = aRequest.mAccount.empty() ? 0 : Hash64(aRequest.mAccount);
   Duration deadline = aRequest.mDeadline.value_or(aRoute.mDeadline);
+  if (aRoute.mIsDeadlineBound) {
+    deadline = std::min(deadline, aRoute.mDeadline);
+  }
   request.mDeadlineAt = aContext.mNow + std::min(deadline, kLongestDeadline);
   request.mStageSince = aContext.mNow;
   return request;
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -17,21 +17,47 @@
  * out that the scheduler, or its answer, is gone. */
 constexpr Duration kAskQueuedInterval = milliseconds(500);
 constexpr Duration kSchedulerSilence = milliseconds(150);
+/** Members notice a death in less; one that was only slow is soon back. */
+constexpr Duration kPassOverTime = milliseconds(2000);
 constexpr Duration kFallbackProbeInterval = milliseconds(100);
 constexpr double kLocalRetryShare = 0.1;
 constexpr double kMostLocalRetries = 5;
 constexpr LeaseId kLocalLeaseBit = LeaseId(1) << 63;
 
+/** The owner of a service's schedule among the members that answer. */
+NodeId
+PickScheduler(const ProxyContext& aContext,
+              const ServiceName& aService,
+              SchedulerLink& aLink)
+{
+  std::vector<NodeId> members = LiveMembers(aContext.mMembers);
+  aLink.mPassOverEndsAt = TimePoint::max();
+  for (auto it = aLink.mPassedOver.begin(); it != aLink.mPassedOver.end();) {
+    if (aContext.mNow >= it->second) {
+      it = aLink.mPassedOver.erase(it);
+      continue;
+    }
+    aLink.mPassOverEndsAt = std::min(aLink.mPassOverEndsAt, it->second);
+    if (members.size() > 1) {
+      members.erase(std::remove(members.begin(), members.end(), it->first),
+                    members.end());
+    }
+    ++it;
+  }
+  return PickOwner(members, SchedulerDuty(aService));
+}
+
 SchedulerLink&
 LinkOf(ProxyState& aState,
        const ProxyContext& aContext,
        const ServiceName& aService)
 {
   SchedulerLink& link = aState.mLinks[aService];
-  if (link.mMembersVersion != aContext.mMembers.mVersion) {
+  bool isOutdated = link.mMembersVersion != aContext.mMembers.mVersion ||
+                    aContext.mNow >= link.mPassOverEndsAt;
+  if (isOutdated) {
     link.mMembersVersion = aContext.mMembers.mVersion;
-    NodeId owner =
-      PickOwner(LiveMembers(aContext.mMembers), SchedulerDuty(aService));
+    NodeId owner = PickScheduler(aContext, aService, link);
     if (owner != link.mScheduler) {
       link.mScheduler = owner;
       link.mHeardAt = aContext.mNow;
@@ -73,6 +99,11 @@
   message.mAccount = aRequest.mAccount;
   message.mAvoid = aRequest.mAvoid;
   bool isOther = aRequest.mAskedNode != aLink.mScheduler;
+  if (isOther) {
+    // The one that was asked before may hold a slot for it, in words that did
+    // not get through.
+    WithdrawLease(aContext, aRequest);
+  }
   aRequest.mIsQueued = aRequest.mIsQueued && !isOther;
   aRequest.mAskedNode = aLink.mScheduler;
   aRequest.mAskedAt = aContext.mNow;
@@ -146,6 +177,20 @@
     "service=" + aService.mValue + " scheduler=" + aLink.mScheduler.mValue });
 }
 
+/** Turns to the next member in line: the silent one may be dead, frozen or out
+ * of reach, and the others notice the same as soon as they ask it. */
+void
+PassOver(const ProxyContext& aContext,
+         const ServiceName& aService,
+         SchedulerLink& aLink)
+{
+  aContext.mEffects.push_back(WriteEvent{
+    kEventSchedulerPassedOver,
+    "service=" + aService.mValue + " scheduler=" + aLink.mScheduler.mValue });
+  aLink.mPassedOver[aLink.mScheduler] = aContext.mNow + kPassOverTime;
+  aLink.mPassOverEndsAt = TimePoint{};
+}
+
 void
 ServeFallback(ProxyState& aState,
               const ProxyContext& aContext,
@@ -184,7 +229,14 @@
                                      : kSchedulerSilence;
     isSilent = isSilent || aContext.mNow - since >= allowed;
   }
-  if (isSilent) {
+  if (!isSilent) {
+    return;
+  }
+  bool isFirst = aLink.mPassedOver.empty();
+  if (aLink.mScheduler != aContext.mMembers.mSelf) {
+    PassOver(aContext, aService, aLink);
+  }
+  if (!isFirst) {
     EnterFallback(aContext, aService, aLink);
   }
 }
--- a/src/RouteTable.cpp
+++ b/src/RouteTable.cpp
@@ -1,18 +1,53 @@
 #include "RouteTable.h"
 
+#include <algorithm>
+#include <cctype>
+
 namespace vanillascale {
 
 namespace {
 
+/** A host without its port, in lower case. */
+std::string
+PlainHost(std::string_view aHost)
+{
+  std::string host(aHost.substr(0, aHost.find(':')));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
+    return static_cast<char>(std::tolower(c));
+  });
+  return host;
+}
+
 std::string
-IndexKey(std::string_view aMethod, std::string_view aPath)
+IndexKey(std::string_view aHost,
+         std::string_view aMethod,
+         std::string_view aPath)
 {
   std::string key;
-  key.reserve(aMethod.size() + 1 + aPath.size());
-  key.append(aMethod).append(" ").append(aPath);
+  key.reserve(aHost.size() + aMethod.size() + 2 + aPath.size());
+  key.append(aHost).append(" ").append(aMethod).append(" ").append(aPath);
   return key;
 }
 
+std::string
+IndexKey(const Route& aRoute)
+{
+  return IndexKey(PlainHost(aRoute.mHost), aRoute.mMethod, aRoute.mPath);
+}
+
+/** The next shorter path that may be a route's: without its last segment or
+ * slash. Empty after the root. */
+std::string_view
+Shorten(std::string_view aPath)
+{
+  if (aPath.size() > 1 && aPath.back() == '/') {
+    return aPath.substr(0, aPath.size() - 1);
+  }
+  std::size_t slash = aPath.rfind('/');
+  bool isRoot = aPath.size() <= 1 || slash == std::string_view::npos;
+  return isRoot ? std::string_view() : aPath.substr(0, slash + 1);
+}
+
 } // namespace
 
 RouteTable
@@ -28,43 +63,60 @@
 bool
 RouteTable::Add(const Route& aRoute)
 {
-  return mNames.emplace(IndexKey(aRoute.mMethod, aRoute.mPath), aRoute.mName)
-    .second;
+  bool isNew = mNames.emplace(IndexKey(aRoute), aRoute.mName).second;
+  if (isNew) {
+    mWithHost += aRoute.mHost.empty() ? 0 : 1;
+    mAnyMethod += aRoute.mMethod.empty() ? 1 : 0;
+  }
+  return isNew;
 }
 
 void
 RouteTable::Remove(const Route& aRoute)
 {
-  auto it = mNames.find(IndexKey(aRoute.mMethod, aRoute.mPath));
+  auto it = mNames.find(IndexKey(aRoute));
   if (it != mNames.end() && it->second == aRoute.mName) {
     mNames.erase(it);
+    mWithHost -= aRoute.mHost.empty() ? 0 : 1;
+    mAnyMethod -= aRoute.mMethod.empty() ? 1 : 0;
   }
 }
 
 const RouteName*
 RouteTable::FindSame(const Route& aRoute) const
 {
-  auto it = mNames.find(IndexKey(aRoute.mMethod, aRoute.mPath));
+  auto it = mNames.find(IndexKey(aRoute));
   return it == mNames.end() ? nullptr : &it->second;
 }
 
 const RouteName*
-RouteTable::Find(std::string_view aMethod, std::string_view aPath) const
+RouteTable::FindAt(const std::string& aHost,
+                   std::string_view aMethod,
+                   std::string_view aPath) const
 {
-  std::string_view path = aPath.substr(0, aPath.find('?'));
-  while (!path.empty()) {
-    auto it = mNames.find(IndexKey(aMethod, path));
-    if (it != mNames.end()) {
-      return &it->second;
+  for (std::string_view it = aPath; !it.empty(); it = Shorten(it)) {
+    auto found = mNames.find(IndexKey(aHost, aMethod, it));
+    if (found == mNames.end() && mAnyMethod > 0) {
+      found = mNames.find(IndexKey(aHost, "", it));
     }
-    std::size_t slash = path.rfind('/');
-    bool atRoot = slash == 0 || slash == std::string_view::npos;
-    path = atRoot && path != "/" ? "/" : path.substr(0, slash);
-    if (atRoot && path.empty()) {
-      break;
+    if (found != mNames.end()) {
+      return &found->second;
     }
   }
   return nullptr;
 }
 
+const RouteName*
+RouteTable::Find(std::string_view aMethod,
+                 std::string_view aPath,
+                 std::string_view aHost) const
+{
+  std::string_view path = aPath.substr(0, aPath.find('?'));
+  const RouteName* name = nullptr;
+  if (mWithHost > 0 && !aHost.empty()) {
+    name = FindAt(PlainHost(aHost), aMethod, path);
+  }
+  return name ? name : FindAt(std::string(), aMethod, path);
+}
+
 } // namespace vanillascale
--- a/src/RouteTable.h
+++ b/src/RouteTable.h
@@ -28,11 +28,23 @@
   const RouteName* FindSame(const Route& aRoute) const;
 
   /** Returns the name of the route whose path is the longest prefix of aPath,
-   * by whole segments, or null. A query part behind '?' is not looked at. */
-  const RouteName* Find(std::string_view aMethod, std::string_view aPath) const;
+   * by whole segments, or null. A query part behind '?' and a port behind the
+   * host are not looked at. Routes that name the host go before those that
+   * take any, and routes that name the method before those that take any. */
+  const RouteName* Find(std::string_view aMethod,
+                        std::string_view aPath,
+                        std::string_view aHost = {}) const;
 
 private:
+  const RouteName* FindAt(const std::string& aHost,
+                          std::string_view aMethod,
+                          std::string_view aPath) const;
+
   std::unordered_map<std::string, RouteName> mNames;
+  /** Routes that name a host, and that take any method: what there are none of
+   * need not be looked up. */
+  std::size_t mWithHost = 0;
+  std::size_t mAnyMethod = 0;
 };
 
 } // namespace vanillascale
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <boost/program_options.hpp>
 #include <charconv>
+#include <fstream>
 #include <functional>
 #include <sstream>
 
@@ -31,6 +32,7 @@
 constexpr unsigned long kMostBodyBytes = 64UL * 1024 * 1024;
 constexpr unsigned long kLeastCallers = 4;
 constexpr unsigned long kMostCallers = 4096;
+constexpr unsigned long kMostStopMs = 600000;
 
 bool
 IsName(const std::string& aText)
@@ -96,12 +98,66 @@
   return IsName(aText);
 }
 
+bool
+TakePath(Settings& aSettings, const std::string& aText)
+{
+  aSettings.mBoot = aText;
+  return true;
+}
+
+bool
+TakeReady(Settings& aSettings, const std::string& aText)
+{
+  return aText.empty() || TakeEndpoint(&Settings::mReady)(aSettings, aText);
+}
+
+bool
+TakePlatformApi(Settings& aSettings, const std::string& aText)
+{
+  aSettings.mPlatformApi =
+    aText == "store" ? PlatformApi::Store : PlatformApi::Log;
+  return aText == "store" || aText == "log";
+}
+
+bool
+TakeSeeds(Settings& aSettings, const std::string& aText)
+{
+  aSettings.mSeeds.clear();
+  std::istringstream list(aText);
+  std::string item;
+  bool areGood = true;
+  while (std::getline(list, item, ',')) {
+    auto endpoint = ParseEndpoint(item);
+    areGood = areGood && endpoint;
+    if (endpoint) {
+      aSettings.mSeeds.push_back(*endpoint);
+    }
+  }
+  return areGood;
+}
+
+bool
+TakeStopWithin(Settings& aSettings, const std::string& aText)
+{
+  auto ms = ParseNumber(aText);
+  if (!ms || *ms > kMostStopMs) {
+    return false;
+  }
+  aSettings.mStopWithin = std::chrono::milliseconds(*ms);
+  return true;
+}
+
 const std::vector<SettingRow>&
 Table()
 {
   static const char* const sAddress = "an IP number and a port, as 10.0.0.1:80";
   static const char* const sName = "1 to 64 letters, digits, '-' or '_'";
   static const std::vector<SettingRow> sTable{
+    { "boot",
+      "",
+      "a file with more settings, one `name = value` a line",
+      "the path of a file",
+      TakePath },
     { "listen",
       "",
       "where callers connect",
@@ -117,11 +173,28 @@
       "where /ready, /live, /metrics and /status are served",
       sAddress,
       TakeEndpoint(&Settings::mAdmin) },
+    { "ready", "", "a second address for the same pages", sAddress, TakeReady },
     { "platform",
       "",
       "the platform's log and VM list",
       sAddress,
       TakeEndpoint(&Settings::mPlatform) },
+    { "platform-api",
+      "log",
+      "the interface that the platform speaks",
+      "log or store",
+      TakePlatformApi },
+    { "seeds",
+      "",
+      "addresses of other proxies; this node's peer port is put for theirs",
+      "addresses with commas between them",
+      TakeSeeds },
+    { "stop-within-ms",
+      "0",
+      "how long after SIGTERM the process may still run; 0 for as long as it "
+      "takes",
+      "a number from 0 to 600000",
+      TakeStopWithin },
     { "zone", "", "this VM's availability zone", sName, TakeZone },
     { "environment",
       "",
@@ -140,7 +213,7 @@
       TakeNumber(&Settings::mMaxBodyBytes, kLeastBodyBytes, kMostBodyBytes) },
     { "max-callers",
       "400",
-      "requests that are served at once",
+      "caller connections that are open at once",
       "a number from 4 to 4096",
       TakeNumber(&Settings::mMaxCallers, kLeastCallers, kMostCallers) },
   };
@@ -193,6 +266,35 @@
   }
 }
 
+/** The settings of the file at a path. */
+std::map<std::string, std::string>
+ReadSettingsFile(const std::string& aPath, std::vector<SettingFault>& aFaults)
+{
+  std::map<std::string, std::string> values;
+  if (aPath.empty()) {
+    return values;
+  }
+  std::ifstream in(aPath);
+  if (!in) {
+    aFaults.push_back({ "boot", aPath, "a file that can be read" });
+    return values;
+  }
+  options::options_description description = Describe();
+  try {
+    for (const auto& it :
+         options::parse_config_file(in, description, true).options) {
+      if (it.unregistered) {
+        aFaults.push_back({ it.string_key, aPath, "no such setting" });
+      } else {
+        values[it.string_key] = it.value.empty() ? "" : it.value.front();
+      }
+    }
+  } catch (const options::error& e) {
+    aFaults.push_back({ "boot", aPath, e.what() });
+  }
+  return values;
+}
+
 } // namespace
 
 tl::expected<Endpoint, std::string>
@@ -246,10 +348,15 @@
     return line;
   }
   FindUnknownVariables(aEnvironment, faults);
+  auto boot = aEnvironment.find(VariableOf("boot"));
+  std::string path = boot == aEnvironment.end() ? "" : boot->second;
+  auto file =
+    ReadSettingsFile(flags.count("boot") > 0 ? flags["boot"] : path, faults);
   for (const SettingRow& it : Table()) {
     auto flag = flags.find(it.mName);
     auto variable = aEnvironment.find(VariableOf(it.mName));
-    std::string value = it.mDefault;
+    auto entry = file.find(it.mName);
+    std::string value = entry == file.end() ? it.mDefault : entry->second;
     if (flag != flags.end()) {
       value = flag->second;
     } else if (variable != aEnvironment.end()) {
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -1,6 +1,7 @@
 #ifndef VANILLASCALE_SETTINGS_H
 #define VANILLASCALE_SETTINGS_H
 
+#include "Clock.h"
 #include "Ids.h"
 
 #include <map>
@@ -17,13 +18,31 @@
   std::uint16_t mPort = 0;
 };
 
+/** Which interface the platform speaks. */
+enum class PlatformApi
+{
+  /** A log of streams and a VM list, with the product's own headers. */
+  Log,
+  /** A store of keyed topics, as the adapter in platform/ translates it. */
+  Store
+};
+
 /** The settings of vanillascaled, checked as a whole. */
 struct Settings
 {
+  /** A file with settings of lower precedence; empty for none. */
+  std::string mBoot;
   Endpoint mListen;
   Endpoint mPeer;
   Endpoint mAdmin;
+  /** A second address of the admin pages; its port is 0 for none. */
+  Endpoint mReady;
   Endpoint mPlatform;
+  PlatformApi mPlatformApi = PlatformApi::Log;
+  /** Hosts of other proxies; their ports are this node's peer port. */
+  std::vector<Endpoint> mSeeds;
+  /** A process that was told to stop is ended after so long; 0 for never. */
+  Duration mStopWithin{ 0 };
   ZoneName mZone;
   std::string mEnvironment;
   std::string mVmGroup;
@@ -46,8 +65,9 @@
   Settings mSettings;
 };
 
-/** Reads flags and VANILLASCALE_* environment variables; a flag goes before a
- * variable. Returns every fault at once. Pure: the environment is an argument.
+/** Reads flags, VANILLASCALE_* environment variables and the file that the
+ * setting "boot" names, of which the former goes before the latter. Returns
+ * every fault at once. The environment is an argument; only the file is read.
  *
  * \code
  *   auto line = ParseSettings({ "--zone=a" }, { { "VANILLASCALE_LISTEN",
--- a/src/TargetClient.cpp
+++ b/src/TargetClient.cpp
@@ -1,228 +1,159 @@
 #include "TargetClient.h"
 
-#include "Settings.h"
-
-#include <algorithm>
-#include <cctype>
-#include <charconv>
-#include <cstring>
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/ioerror.h>
-#include <optional>
-#include <strings.h>
-
 namespace vanillascale {
 
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 using SteadyClock = std::chrono::steady_clock;
 
-constexpr auto kConnectTimeout = milliseconds(250);
-/** A timeout this close to the deadline is not told apart from it. */
-constexpr auto kDeadlineSlack = milliseconds(20);
+/** A first packet that is lost is sent again only after a second; another
+ * target is there sooner. Round trips between zones take a few ms. */
+constexpr Duration kConnectTimeout = milliseconds(120);
 /** With 48 proxies, 288 of the 330 connections that the smallest target has. */
-constexpr std::size_t kIdleConnectionsPerTarget = 6;
-constexpr unsigned kFirstServerError = 500;
-constexpr unsigned kStatusNoContent = 204;
-constexpr unsigned kStatusNotModified = 304;
-constexpr std::size_t kLargestAnswerBytes = 64UL * 1024 * 1024;
+constexpr std::size_t kKeptPerTarget = 6;
+/** Shorter than the idle times that targets grant, and than the time in which
+ * a path that has gone silent stays unnoticed. */
+constexpr Duration kKeepTime = milliseconds(1500);
 
-cxxtools::Milliseconds
-LeftUntil(SteadyClock::time_point aDeadline)
+TargetOutcome
+OutcomeOf(ExchangeEnd aEnd)
 {
-  auto left =
-    std::chrono::duration_cast<milliseconds>(aDeadline - SteadyClock::now());
-  return cxxtools::Milliseconds(std::max<std::int64_t>(left.count(), 1));
+  switch (aEnd) {
+    case ExchangeEnd::ConnectFailed:
+      return TargetOutcome::ConnectFailed;
+    case ExchangeEnd::TimedOut:
+      return TargetOutcome::TimedOut;
+    case ExchangeEnd::Cancelled:
+      return TargetOutcome::Cancelled;
+    case ExchangeEnd::Complete:
+    case ExchangeEnd::Broken:
+      return TargetOutcome::Broken;
+  }
+  return TargetOutcome::Broken;
 }
 
-bool
-IsOfConnection(const char* aName)
-{
-  static const char* const sNames[] = {
-    "Connection",     "Keep-Alive", "Transfer-Encoding",
-    "Content-Length", "Server",     "Date"
-  };
-  return std::any_of(
-    std::begin(sNames), std::end(sNames), [&](const char* aOther) {
-      return strcasecmp(aName, aOther) == 0;
-    });
-}
+} // namespace
 
-/** Whether a target says that it did not run the request. */
-bool
-IsShed(const cxxtools::http::ReplyHeader& aHeader)
+TargetClient::TargetClient(boost::asio::io_context& aLoop,
+                           const TargetDialect& aDialect)
+  : mLoop(aLoop)
+  , mDialect(aDialect)
 {
-  const char* outcome = aHeader.getHeader("Vanillascale-Outcome");
-  return outcome && std::strcmp(outcome, "not-run") == 0;
 }
 
-/** Whether a failure came before anything was sent. The library has no type for
- * it, only this beginning of the text; were that to change, the failure would
- * count as one after sending, which is the safe side. */
-bool
-IsConnectFailure(const std::exception& aFailure)
+std::unique_ptr<TargetClient>
+TargetClient::Make(boost::asio::io_context& aLoop,
+                   const TargetDialect& aDialect)
 {
-  static const char sBeginning[] = "while trying to connect";
-  return std::strncmp(aFailure.what(), sBeginning, sizeof(sBeginning) - 1) == 0;
+  return std::unique_ptr<TargetClient>(new TargetClient(aLoop, aDialect));
 }
 
-cxxtools::http::Request
-Compose(const TargetRequest& aRequest, const TargetId& aTarget)
+ReusableSocket
+TargetClient::Take(const TargetId& aTarget)
 {
-  cxxtools::http::Request request(aRequest.mPath);
-  request.method(aRequest.mMethod);
-  request.qparams(aRequest.mQuery);
-  for (const Header& it : aRequest.mHeaders) {
-    request.setHeader(it.mName.c_str(), it.mValue.c_str());
+  auto it = mKept.find(aTarget);
+  if (it == mKept.end()) {
+    return nullptr;
+  }
+  auto oldest = SteadyClock::now() - kKeepTime;
+  while (!it->second.empty()) {
+    Kept kept = std::move(it->second.back());
+    it->second.pop_back();
+    boost::system::error_code ec;
+    // Bytes that nobody asked for, or the end, make it unfit.
+    bool isFit =
+      kept.mSince > oldest && kept.mSocket->available(ec) == 0 && !ec;
+    char probe = 0;
+    kept.mSocket->non_blocking(true, ec);
+    kept.mSocket->receive(boost::asio::buffer(&probe, 1),
+                          boost::asio::ip::tcp::socket::message_peek,
+                          ec);
+    isFit = isFit && ec == boost::asio::error::would_block;
+    if (isFit) {
+      return std::move(kept.mSocket);
+    }
   }
-  request.setHeader("Host", aTarget.mValue.c_str());
-  request.body() << aRequest.mBody;
-  return request;
+  return nullptr;
 }
 
-/** Reads a body of a known length, watching the deadline between the pieces. */
-bool
-ReadBody(std::istream& aIn,
-         std::size_t aLength,
-         SteadyClock::time_point aDeadline,
-         std::string& aBody)
+void
+TargetClient::Send(TargetSend aSend, Callback aCallback)
 {
-  aBody.reserve(aLength);
-  while (aBody.size() < aLength) {
-    if (SteadyClock::now() >= aDeadline) {
-      return false;
-    }
-    if (aIn.peek() == std::istream::traits_type::eof()) {
-      return false;
-    }
-    auto n = static_cast<std::size_t>(aIn.rdbuf()->in_avail());
-    n = std::min(std::max<std::size_t>(n, 1), aLength - aBody.size());
-    std::size_t before = aBody.size();
-    aBody.resize(before + n);
-    aIn.read(&aBody[before], static_cast<std::streamsize>(n));
-    if (!aIn) {
-      return false;
-    }
-  }
-  return true;
+  auto endpoint = ParseEndpoint(AddressOf(aSend.mTarget));
+  ExchangeRequest request;
+  request.mTo = endpoint.value_or(Endpoint{ "0.0.0.0", 1 });
+  request.mBytes = Serialize(aSend.mMessage);
+  request.mIsToHead = aSend.mMessage.mMethod == "HEAD";
+  request.mConnectTimeout = std::min(kConnectTimeout, aSend.mTimeout);
+  request.mTimeout = aSend.mTimeout;
+  request.mAccepts =
+    [this, name = aSend.mRequestName](const HttpResponse& aResponse) {
+      return IsAnswerTo(mDialect, name, aResponse);
+    };
+  ReusableSocket socket = aSend.mIsIdempotent ? Take(aSend.mTarget) : nullptr;
+  mConnects += socket ? 0 : 1;
+  mRunning[aSend.mRequest] = HttpExchange::Start(
+    mLoop,
+    std::move(request),
+    std::move(socket),
+    [this,
+     target = aSend.mTarget,
+     id = aSend.mRequest,
+     callback = std::move(aCallback)](ExchangeResult aResult) {
+      Finish(target, id, std::move(aResult), callback);
+    });
 }
 
-std::optional<std::size_t>
-LengthOf(const cxxtools::http::ReplyHeader& aHeader)
+void
+TargetClient::Finish(const TargetId& aTarget,
+                     RequestId aRequest,
+                     ExchangeResult aResult,
+                     const Callback& aCallback)
 {
-  unsigned status = aHeader.httpReturnCode();
-  if (status == kStatusNoContent || status == kStatusNotModified) {
-    return 0;
+  mRunning.erase(aRequest);
+  if (aResult.mSocket) {
+    auto& kept = mKept[aTarget];
+    if (kept.size() < kKeptPerTarget) {
+      kept.push_back({ std::move(aResult.mSocket), SteadyClock::now() });
+    }
   }
-  const char* text = aHeader.getHeader("Content-Length");
-  if (!text) {
-    return std::nullopt;
+  if (aResult.mEnd == ExchangeEnd::Complete) {
+    aCallback(InterpretAnswer(mDialect, std::move(aResult.mResponse)));
+  } else {
+    aCallback({ OutcomeOf(aResult.mEnd), nullptr });
   }
-  std::size_t length = 0;
-  const char* end = text + std::strlen(text);
-  auto [stop, ec] = std::from_chars(text, end, length);
-  bool isLength =
-    ec == std::errc() && stop == end && length <= kLargestAnswerBytes;
-  return isLength ? std::make_optional(length) : std::nullopt;
 }
 
-} // namespace
-
-TargetClient::TargetClient() = default;
-TargetClient::~TargetClient() = default;
-
-TargetClient::Connection
-TargetClient::Take(const TargetId& aTarget)
+void
+TargetClient::Cancel(RequestId aRequest)
 {
-  std::lock_guard<std::mutex> lock(mMutex);
-  auto it = mIdle.find(aTarget);
-  if (it == mIdle.end() || it->second.empty()) {
-    return nullptr;
+  auto it = mRunning.find(aRequest);
+  if (it != mRunning.end()) {
+    it->second->Cancel();
   }
-  Connection connection = std::move(it->second.back());
-  it->second.pop_back();
-  return connection;
 }
 
 void
-TargetClient::PutBack(const TargetId& aTarget, Connection aConnection)
+TargetClient::CloseIdle()
 {
-  std::lock_guard<std::mutex> lock(mMutex);
-  auto& idle = mIdle[aTarget];
-  if (idle.size() < kIdleConnectionsPerTarget) {
-    idle.push_back(std::move(aConnection));
+  auto oldest = SteadyClock::now() - kKeepTime;
+  for (auto it = mKept.begin(); it != mKept.end();) {
+    it->second.remove_if(
+      [&](const Kept& aKept) { return aKept.mSince <= oldest; });
+    it = it->second.empty() ? mKept.erase(it) : std::next(it);
   }
 }
 
-TargetResult
-TargetClient::Send(const TargetId& aTarget,
-                   const TargetRequest& aRequest,
-                   Duration aTimeout,
-                   bool aIsIdempotent)
+std::size_t
+TargetClient::CountKept() const
 {
-  auto deadline = SteadyClock::now() + aTimeout;
-  Connection connection = aIsIdempotent ? Take(aTarget) : nullptr;
-  bool isNew = !connection;
-  if (isNew) {
-    auto endpoint = ParseEndpoint(aTarget.mValue);
-    if (!endpoint) {
-      return { TargetOutcome::ConnectFailed, nullptr };
-    }
-    // Not connected here: on a connection that it finds open the library would
-    // send a second time by itself if the target closes it without an answer.
-    connection = std::make_unique<cxxtools::http::Client>(endpoint->mHost,
-                                                          endpoint->mPort);
-  }
-  try {
-    cxxtools::http::Request request = Compose(aRequest, aTarget);
-    auto connectLimit =
-      std::min(deadline, SteadyClock::now() + kConnectTimeout);
-    const auto& header = connection->execute(
-      request, LeftUntil(deadline), LeftUntil(connectLimit));
-    auto length = LengthOf(header);
-    auto answer = std::make_shared<Answer>();
-    answer->mStatus = header.httpReturnCode();
-    for (const auto& it : header) {
-      if (!IsOfConnection(it.first)) {
-        answer->mHeaders.push_back({ it.first, it.second });
-      }
-    }
-    bool isShed = IsShed(header);
-    bool isDraining = header.hasHeader("Vanillascale-Draining");
-    bool keepsAlive = header.keepAlive();
-    if (!length ||
-        !ReadBody(connection->in(), *length, deadline, answer->mBody)) {
-      bool isLate = SteadyClock::now() >= deadline;
-      return { isLate ? TargetOutcome::TimedOut : TargetOutcome::Broken,
-               nullptr };
-    }
-    if (keepsAlive) {
-      PutBack(aTarget, std::move(connection));
-    }
-    if (isShed) {
-      return { isDraining ? TargetOutcome::Draining : TargetOutcome::Shed,
-               nullptr };
-    }
-    bool isError = answer->mStatus >= kFirstServerError;
-    return { isError ? TargetOutcome::ServerError : TargetOutcome::Answered,
-             std::move(answer) };
-  } catch (const cxxtools::IOTimeout&) {
-    // Only connecting may time out before the deadline.
-    bool isConnecting = isNew && SteadyClock::now() < deadline - kDeadlineSlack;
-    return { isConnecting ? TargetOutcome::ConnectFailed
-                          : TargetOutcome::TimedOut,
-             nullptr };
-  } catch (const std::exception& e) {
-    if (IsConnectFailure(e)) {
-      return { TargetOutcome::ConnectFailed, nullptr };
-    }
-    bool isLate = SteadyClock::now() >= deadline;
-    return { isLate ? TargetOutcome::TimedOut : TargetOutcome::Broken,
-             nullptr };
+  std::size_t n = 0;
+  for (const auto& [target, kept] : mKept) {
+    n += kept.size();
   }
+  return n;
 }
 
 } // namespace vanillascale
--- a/src/TargetClient.h
+++ b/src/TargetClient.h
@@ -1,64 +1,71 @@
 #ifndef VANILLASCALE_TARGETCLIENT_H
 #define VANILLASCALE_TARGETCLIENT_H
 
-#include "Clock.h"
-#include "Messages.h"
+#include "Dialects.h"
+#include "HttpExchange.h"
 
-#include <memory>
-#include <mutex>
-#include <string>
+#include <functional>
+#include <list>
 #include <unordered_map>
-#include <vector>
-
-namespace cxxtools::http {
-class Client;
-}
 
 namespace vanillascale {
 
-/** A request as it goes to a target. */
-struct TargetRequest
-{
-  std::string mMethod;
-  std::string mPath;
-  std::string mQuery;
-  std::vector<Header> mHeaders;
-  std::string mBody;
-};
-
-/** How a send ended; mAnswer is set for Answered and ServerError. */
-struct TargetResult
+/** One send of a request to a target. */
+struct TargetSend
 {
-  TargetOutcome mOutcome = TargetOutcome::Broken;
-  std::shared_ptr<const Answer> mAnswer;
+  RequestId mRequest = 0;
+  TargetId mTarget;
+  HttpRequest mMessage;
+  /** The caller's id of the request, by which late answers are told apart. */
+  std::string mRequestName;
+  Duration mTimeout{ 0 };
+  /** False for work that may run only once: it goes on a new connection, since
+   * a kept one may be reset as the request arrives. */
+  bool mIsIdempotent = true;
 };
 
-/** Sends requests to targets over cxxtools' HTTP client and keeps connections
- * for reuse. Safe to call from any thread; each call blocks its own. */
+/** Sends requests to targets and keeps connections for reuse. The loop's thread
+ * only. */
 class TargetClient
 {
 public:
-  TargetClient();
-  ~TargetClient();
+  using Callback = std::function<void(TargetResult)>;
+
+  /** Neither argument is copied; both must outlive the client. */
+  static std::unique_ptr<TargetClient> Make(boost::asio::io_context& aLoop,
+                                            const TargetDialect& aDialect);
+
+  /** Sends a request, once. aCallback is called once, never from within. */
+  void Send(TargetSend aSend, Callback aCallback);
+
+  /** Ends a request's exchange, if it has one: the callback gets Cancelled. */
+  void Cancel(RequestId aRequest);
+
+  /** Closes kept connections that have not been used for a while. */
+  void CloseIdle();
 
-  /** Sends a request and reads the whole answer within aTimeout.
-   *
-   * The library sends again by itself when a reused connection turns out to be
-   * closed; with aIsIdempotent false a new connection is made, on which it does
-   * not. An answer counts as whole only if it is as long as it says. */
-  TargetResult Send(const TargetId& aTarget,
-                    const TargetRequest& aRequest,
-                    Duration aTimeout,
-                    bool aIsIdempotent);
+  std::size_t CountKept() const;
+  std::uint64_t CountConnects() const { return mConnects; }
 
 private:
-  using Connection = std::unique_ptr<cxxtools::http::Client>;
+  struct Kept
+  {
+    ReusableSocket mSocket;
+    std::chrono::steady_clock::time_point mSince;
+  };
 
-  Connection Take(const TargetId& aTarget);
-  void PutBack(const TargetId& aTarget, Connection aConnection);
+  TargetClient(boost::asio::io_context& aLoop, const TargetDialect& aDialect);
+  ReusableSocket Take(const TargetId& aTarget);
+  void Finish(const TargetId& aTarget,
+              RequestId aRequest,
+              ExchangeResult aResult,
+              const Callback& aCallback);
 
-  std::mutex mMutex;
-  std::unordered_map<TargetId, std::vector<Connection>> mIdle;
+  boost::asio::io_context& mLoop;
+  const TargetDialect& mDialect;
+  std::unordered_map<RequestId, std::shared_ptr<HttpExchange>> mRunning;
+  std::unordered_map<TargetId, std::list<Kept>> mKept;
+  std::uint64_t mConnects = 0;
 };
 
 } // namespace vanillascale
--- /dev/null
+++ b/src/WeightedSpread.h
@@ -0,0 +1,34 @@
+#ifndef VANILLASCALE_WEIGHTEDSPREAD_H
+#define VANILLASCALE_WEIGHTEDSPREAD_H
+
+#include "Document.h"
+#include "Random.h"
+
+#include <unordered_map>
+
+namespace vanillascale {
+
+/** Spreads a route's requests over services by weight.
+ *
+ * Load pattern: one proxy sees a handful of a route's requests in the time over
+ * which the shares are looked at. Drawing each at random leaves the shares of
+ * small weights to chance; taking turns makes all proxies start with the same
+ * service. So each proxy takes turns in proportion (smooth weighted round
+ * robin) from a random start. A service that is short of room keeps its share:
+ * what does not fit there is refused. Not thread safe. */
+struct WeightedSpread
+{
+  /** What each service is owed, in shares of a request, by its name. */
+  std::unordered_map<ServiceName, double> mOwed;
+};
+
+/** Picks the service of the next request. Precondition: aShares has an entry
+ * with a weight above zero, or the first is picked. */
+const ServiceName&
+PickShare(WeightedSpread& aSpread,
+          const std::vector<RouteShare>& aShares,
+          Random& aRandom);
+
+} // namespace vanillascale
+
+#endif
--- a/standins/LoadTool.cpp
+++ b/standins/LoadTool.cpp
@@ -1,5 +1,6 @@
 #include "Document.h"
 #include "Hash.h"
+#include "PlatformPort.h"
 #include "Random.h"
 #include "RequestKeys.h"
 #include "Settings.h"
@@ -9,9 +10,6 @@
 #include <boost/program_options.hpp>
 #include <condition_variable>
 #include <csignal>
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
@@ -34,6 +32,15 @@
 constexpr int kMostTries = 40;
 constexpr unsigned kStatusOk = 200;
 constexpr auto kBalancerInterval = milliseconds(100);
+/** How long after its deadline a caller still waits for its answer. */
+constexpr Duration kCallerPatience = milliseconds(3000);
+
+StoreReply
+Get(const Endpoint& aServer, const char* aPath, Duration aTimeout)
+{
+  return BlockingConnection::Make(aServer)->Call(
+    { "GET", aPath, "", aTimeout, {} });
+}
 
 struct Options
 {
@@ -117,14 +124,10 @@
 private:
   static bool IsReady(const std::string& aAdmin)
   {
-    try {
-      auto endpoint = ParseEndpoint(aAdmin);
-      cxxtools::http::Client client(endpoint->mHost, endpoint->mPort);
-      client.get("/ready", cxxtools::Milliseconds(500));
-      return client.header().httpReturnCode() == kStatusOk;
-    } catch (const std::exception&) {
-      return false;
-    }
+    auto endpoint = ParseEndpoint(aAdmin);
+    return endpoint &&
+           Get(*endpoint, "/ready", milliseconds(500)).mResponse.mStatus ==
+             kStatusOk;
   }
 
   void Check()
@@ -204,9 +207,8 @@
     for (const std::string& it : mOptions.mTargets) {
       auto endpoint = ParseEndpoint(it);
       try {
-        cxxtools::http::Client client(endpoint->mHost, endpoint->mPort);
-        Json json =
-          Json::parse(client.get("/record", cxxtools::Seconds(5)).body());
+        Json json = Json::parse(
+          Get(*endpoint, "/record", std::chrono::seconds(5)).mResponse.mBody);
         for (const auto& key : json.at("keys").items()) {
           runs[key.key()] += key.value().get<unsigned>();
         }
@@ -352,13 +354,14 @@
       return MakeRequestKey(now, mRandom(), low).mValue;
     }
 
-    cxxtools::http::Client& ClientOf(std::size_t aProxy)
+    /** The connection to a proxy. It never sends a request twice: one that did
+     * would say "first attempt" of a second. */
+    BlockingConnection& ClientOf(std::size_t aProxy)
     {
       auto& client = mClients[aProxy];
       if (!client) {
         auto endpoint = ParseEndpoint(mLoad.mBalancer.Address(aProxy));
-        client = std::make_unique<cxxtools::http::Client>(endpoint->mHost,
-                                                          endpoint->mPort);
+        client = BlockingConnection::Make(*endpoint);
       }
       return *client;
     }
@@ -368,62 +371,56 @@
               const std::string& aMark,
               bool aIsFirst)
     {
-      cxxtools::http::Request request(mRoute.mPath);
-      request.method(mRoute.mMethod);
-      request.setHeader("X-Mark", aMark.c_str());
+      StoreCall call;
+      call.mMethod = mRoute.mMethod;
+      call.mTarget = mRoute.mPath;
+      call.mTimeout = mRoute.mDeadline + kCallerPatience;
+      call.mHeaders.push_back({ "X-Mark", aMark });
       if (!aKey.empty()) {
-        request.setHeader("Idempotency-Key", aKey.c_str());
+        call.mHeaders.push_back({ "Idempotency-Key", aKey });
         if (aIsFirst) {
-          request.setHeader("Vanillascale-First-Attempt", "true");
+          call.mHeaders.push_back({ "Vanillascale-First-Attempt", "true" });
         }
-        request.body() << "work of " << aMark;
+        call.mBody = "work of " + aMark;
       }
       if (mRoute.mWork == WorkClass::Long) {
-        request.setHeader("X-Long", "1");
+        call.mHeaders.push_back({ "X-Long", "1" });
       }
       auto start = SteadyClock::now();
       Told told = Told::Broken;
       bool isWrong = false;
-      try {
-        auto& client = ClientOf(aProxy);
-        client.execute(request, Timeout());
-        client.readBody();
-        told = Judge(client, aMark, isWrong);
-      } catch (const std::exception&) {
-        mClients[aProxy].reset();
+      StoreReply reply = ClientOf(aProxy).Call(std::move(call));
+      if (reply.mEnd == ExchangeEnd::Complete) {
+        told = Judge(reply.mResponse, aMark, isWrong);
       }
       std::chrono::duration<double, std::milli> ms = SteadyClock::now() - start;
       Note(aProxy, told, isWrong, ms.count());
       return told;
     }
 
-    cxxtools::Milliseconds Timeout() const
+    static std::string ValueOf(const HttpResponse& aResponse, const char* aName)
     {
-      auto ms = std::chrono::duration_cast<milliseconds>(mRoute.mDeadline);
-      return cxxtools::Milliseconds(static_cast<double>(ms.count()) + 3000);
+      const std::string* value = FindHeader(aResponse.mHeaders, aName);
+      return value ? *value : "";
     }
 
-    static Told Judge(cxxtools::http::Client& aClient,
+    static Told Judge(const HttpResponse& aResponse,
                       const std::string& aMark,
                       bool& aIsWrong)
     {
-      const auto& header = aClient.header();
-      const char* outcome = header.getHeader("Vanillascale-Outcome");
-      std::string text = outcome ? outcome : "ran";
-      if (text == "not-run") {
+      if (ValueOf(aResponse, "Vanillascale-Outcome") == "not-run") {
         return Told::NotRun;
       }
-      if (header.httpReturnCode() != kStatusOk) {
-        const char* reason = header.getHeader("Vanillascale-Reason");
-        std::string why = reason ? reason : "";
-        return why == "outcome-not-known" ? Told::UnknownForGood
-                                          : Told::Unknown;
+      if (aResponse.mStatus != kStatusOk) {
+        return ValueOf(aResponse, "Vanillascale-Reason") == "outcome-not-known"
+                 ? Told::UnknownForGood
+                 : Told::Unknown;
       }
-      const char* mark = header.getHeader("X-Mark");
-      const char* hash = header.getHeader("X-Hash");
-      std::string body = aClient.body();
-      bool isOwn = mark && aMark == mark && body.rfind(aMark, 0) == 0;
-      bool isWhole = hash && std::to_string(Hash64(body)) == hash;
+      const std::string& body = aResponse.mBody;
+      bool isOwn =
+        ValueOf(aResponse, "X-Mark") == aMark && body.rfind(aMark, 0) == 0;
+      bool isWhole =
+        ValueOf(aResponse, "X-Hash") == std::to_string(Hash64(body));
       aIsWrong = !isOwn || !isWhole;
       return Told::Answered;
     }
@@ -467,7 +464,7 @@
     Load& mLoad;
     const Route& mRoute;
     Random mRandom;
-    std::vector<std::unique_ptr<cxxtools::http::Client>> mClients;
+    std::vector<std::unique_ptr<BlockingConnection>> mClients;
   };
 
   static double Percentile(RouteResult& aResult, double aShare)
--- a/test/correctness/MessagesAreDecoded.cpp
+++ b/test/correctness/MessagesAreDecoded.cpp
@@ -44,7 +44,9 @@
            IntentDecision{},
            KeptAnswerQuery{ 12, RequestKey("k") },
            reply,
-           LeaseQuery{ ServiceName("ledger"), { 1, 2, 3 } } };
+           LeaseQuery{ ServiceName("ledger"), { 1, 2, 3 } },
+           FeedPush{ "t", 1, 2, true, Duration(3), { { "k", 4, "v" } } },
+           FeedPull{ "t", 5 } };
 }
 
 } // namespace
--- a/test/correctness/SchedulersMayFail.cpp
+++ b/test/correctness/SchedulersMayFail.cpp
@@ -1,3 +1,5 @@
+#include "Rendezvous.h"
+
 #include "../support/SmallSite.h"
 
 #include <CppUTest/TestHarness.h>
@@ -142,7 +144,7 @@
   }
 }
 
-TEST(FailingSchedulers, AOneWayCutToTheSchedulerLeadsToFallback)
+TEST(FailingSchedulers, AOneWayCutToTheSchedulerLeadsToTheNextInLine)
 {
   Site site(1);
   site.Load(seconds(2));
@@ -153,6 +155,32 @@
       return aFrom == scheduler && aTo == cut;
     };
   site.Load(seconds(5));
+  CHECK(Schedulers(site.mFleet).size() >= 2);
+  const auto& proxy = site.mFleet.mNodes[cut]->mState.mProxy;
+  LONGS_EQUAL(0, proxy.mCounters.mFallbackSends);
+  site.CheckServed(0.99);
+}
+
+TEST(FailingSchedulers, AProxyThatNoSchedulerAnswersChoosesLocally)
+{
+  Site site(1);
+  site.Load(seconds(2));
+  // The last in line, so that it does not come to schedule itself.
+  std::vector<NodeId> nodes;
+  for (const auto& it : site.mFleet.mNodes) {
+    nodes.push_back(it->mState.mIdentity.mSelf);
+  }
+  ServiceName ledger("ledger");
+  auto line = PickOwners(nodes, SchedulerDuty(ledger), nodes.size());
+  std::size_t cut = static_cast<std::size_t>(
+    std::find(nodes.begin(), nodes.end(), line.back()) - nodes.begin());
+  site.mFleet.mIsLost =
+    [=](std::size_t, std::size_t aTo, const Message& aMessage) {
+      bool isProbe = std::holds_alternative<Ping>(aMessage) ||
+                     std::holds_alternative<PingAck>(aMessage);
+      return aTo == cut && !isProbe;
+    };
+  site.Load(seconds(5));
   CHECK(site.mFleet.mNodes[cut]->mState.mProxy.mCounters.mFallbackSends > 0);
   site.CheckServed(0.99);
 }
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -164,6 +164,8 @@
     [](std::size_t, const FakeTarget&) { return false; };
   AnswerHook mOnAnswer = [](std::size_t, RequestId, const AnswerCaller&) {};
   EventHook mOnEvent = [](std::size_t, const WriteEvent&) {};
+  std::function<void(std::size_t, const ReadFeed&)> mOnReadFeed =
+    [](std::size_t, const ReadFeed&) {};
   /** A target has begun to run a request. */
   std::function<void(std::size_t, RequestId)> mOnStart = [](std::size_t,
                                                             RequestId) {};
@@ -278,6 +280,11 @@
   }
 
   void Run(std::size_t, CancelAtTarget&) {}
+  /** The store of keyed topics: tests that have one replace it. */
+  void Run(std::size_t aFrom, ReadFeed& aEffect)
+  {
+    mOnReadFeed(aFrom, aEffect);
+  }
   void Run(std::size_t aFrom, AnswerCaller& aEffect)
   {
     mWork.erase({ aFrom, aEffect.mRequest });
