Grade the trust in targets and wait for slots by the route's goal

Change: TargetTrust (a failure makes a target the last choice; a proof sent after it restores it; history spaces the trials), work that may not be repeated goes to targets that are trusted, neglected targets get a request that may be repeated, settling requests pause after failures (517 safe requests hit one suspect target before), the wait for a slot is bounded by the goal, a failed connect is no repeat, what was served lately is not taken for harmful. Decision lines for each failed send and request.

--- a/src/HarmfulRequests.cpp
+++ b/src/HarmfulRequests.cpp
@@ -9,6 +9,9 @@
 constexpr Duration kCrashMemory = seconds(60);
 constexpr Duration kHarmfulTime = std::chrono::minutes(10);
 constexpr std::size_t kHarmfulCrashes = 2;
+constexpr Duration kServedMemory = seconds(20);
+/** Bounds the memory at half a MB; callers repeat few of their requests. */
+constexpr std::size_t kMostServed = 10000;
 
 /** Whether so many targets crashed just now that it is rather the network. */
 bool
@@ -25,8 +28,29 @@
   return crashed.size() > kHarmfulCrashes && crashed.size() * 4 > aTargets;
 }
 
+bool
+WasServed(const HarmfulRequests& aRequests,
+          TimePoint aNow,
+          std::uint64_t aFingerprint)
+{
+  auto it = aRequests.mServed.find(aFingerprint);
+  return it != aRequests.mServed.end() && aNow - it->second < kServedMemory;
+}
+
 } // namespace
 
+void
+NoteServed(HarmfulRequests& aRequests,
+           TimePoint aNow,
+           std::uint64_t aFingerprint)
+{
+  aRequests.mCrashes.erase(aFingerprint);
+  bool isKnown = aRequests.mServed.count(aFingerprint) > 0;
+  if (isKnown || aRequests.mServed.size() < kMostServed) {
+    aRequests.mServed[aFingerprint] = aNow;
+  }
+}
+
 bool
 NoteCrash(HarmfulRequests& aRequests,
           TimePoint aNow,
@@ -34,6 +58,9 @@
           const TargetId& aTarget,
           std::size_t aTargets)
 {
+  if (WasServed(aRequests, aNow, aFingerprint)) {
+    return false;
+  }
   CrashTrace& trace = aRequests.mCrashes[aFingerprint];
   if (aNow - trace.mLastAt > kCrashMemory) {
     trace.mTargets.clear();
@@ -60,6 +87,10 @@
 void
 ForgetOldCrashes(HarmfulRequests& aRequests, TimePoint aNow)
 {
+  for (auto it = aRequests.mServed.begin(); it != aRequests.mServed.end();) {
+    bool isOld = aNow - it->second >= kServedMemory;
+    it = isOld ? aRequests.mServed.erase(it) : std::next(it);
+  }
   for (auto it = aRequests.mCrashes.begin(); it != aRequests.mCrashes.end();) {
     bool isOld = aNow - it->second.mLastAt > kCrashMemory;
     it = isOld ? aRequests.mCrashes.erase(it) : std::next(it);
--- a/src/HarmfulRequests.h
+++ b/src/HarmfulRequests.h
@@ -22,8 +22,17 @@
 {
   std::unordered_map<std::uint64_t, CrashTrace> mCrashes;
   std::unordered_map<std::uint64_t, TimePoint> mHarmfulUntil;
+  /** When a request was last answered well: what works for some callers is not
+   * what crashes targets. */
+  std::unordered_map<std::uint64_t, TimePoint> mServed;
 };
 
+/** Notes that a request was answered well. */
+void
+NoteServed(HarmfulRequests& aRequests,
+           TimePoint aNow,
+           std::uint64_t aFingerprint);
+
 /** Notes that a target crashed while it ran a request, of a service with so
  * many targets. Returns whether the request is harmful from now on: it was at a
  * second target that crashed, and not so many crash that it is rather the
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -77,6 +77,11 @@
   std::uint64_t mAccount = 0;
   /** A target that is not to be used, empty for none. */
   TargetId mAvoid;
+  /** What is left of the time within which an answer is of full use; 0 where
+   * the route does not state one. */
+  Duration mGoal{ 0 };
+  /** The caller's id of the request, for the log. */
+  std::string mName;
   MSGPACK_DEFINE(mService,
                  mRequest,
                  mRoute,
@@ -87,7 +92,9 @@
                  mDeadline,
                  mFingerprint,
                  mAccount,
-                 mAvoid)
+                 mAvoid,
+                 mGoal,
+                 mName)
 };
 
 /** Says that a repeated LeaseRequest is known and still waits. */
--- a/src/NodeRuntime.cpp
+++ b/src/NodeRuntime.cpp
@@ -90,7 +90,7 @@
   bool mIsStepping = false;
   bool mIsStopping = false;
   bool mIsStopped = false;
-  LogOffset mLimitsOffset = 0;
+  std::uint64_t mLimitsRevision = 0;
   TimePoint mStoppedAt{};
   LoopCounters mCounters;
 
@@ -167,10 +167,11 @@
   void TakeLimits()
   {
     const ConfigState& config = mState.mConfig.mConfig;
-    if (config.mOffset == mLimitsOffset || !config.mDocument.mLimits) {
+    const Document& document = config.mDocument;
+    if (document.mRevision == mLimitsRevision || !document.mLimits) {
       return;
     }
-    mLimitsOffset = config.mOffset;
+    mLimitsRevision = document.mRevision;
     mCallers->SetLimits(*config.mDocument.mLimits);
   }
 
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -3,6 +3,7 @@
 #include "ProxyAdmission.h"
 #include "ProxyIntents.h"
 #include "ProxyLeases.h"
+#include "ProxyLog.h"
 #include "ProxyVerdicts.h"
 
 #include <algorithm>
@@ -11,6 +12,8 @@
 
 namespace {
 
+/** Each costs a connect timeout; after so many it is this node's network. */
+constexpr unsigned kMostFailedConnects = 5;
 /** A local wait is cut where a scheduler would cut it. */
 constexpr int kLocalPatiencePercent = 9;
 
@@ -54,6 +57,7 @@
   if (!request.mIsCallerGone) {
     CountOutcome(aState, aVerdict.mOutcome);
   }
+  LogEnd(aContext, request, aVerdict, aAnswer.get());
   // A caller that has gone is answered too: that ends what the shell holds.
   aContext.mEffects.push_back(
     AnswerCaller{ aId, aVerdict, std::move(aAnswer) });
@@ -106,14 +110,16 @@
 bool
 MayRetry(const ProxyContext& aContext, const ProxyRequest& aRequest)
 {
-  return aRequest.mSends < aRequest.mAttempts && !aRequest.mIsCallerGone &&
+  return aRequest.mSends < aRequest.mAttempts &&
+         aRequest.mFailedConnects < kMostFailedConnects && !aRequest.mIsCallerGone &&
          aContext.mNow < aRequest.mDeadlineAt;
 }
 
 void
 Retry(ProxyState& aState, const ProxyContext& aContext, ProxyRequest& aRequest)
 {
-  aRequest.mIsRetry = true;
+  // Where no connection came about no target has seen it: that is no repeat.
+  aRequest.mIsRetry = aRequest.mSends > 0;
   aRequest.mAvoid = aRequest.mTarget;
   AskForLease(aState, aContext, aRequest);
 }
@@ -305,6 +311,7 @@
     aContext.mConfig, aRequest.mMethod, aRequest.mPath, aRequest.mHost);
   if (auto verdict = CheckRequest(aContext, aRequest, route)) {
     CountOutcome(aState, verdict->mOutcome);
+    LogRefusal(aContext, aRequest, *verdict);
     aContext.mEffects.push_back(
       AnswerCaller{ aRequest.mRequest, *verdict, nullptr });
     return;
@@ -359,6 +366,9 @@
     return;
   }
   ReturnLease(aState, aContext, *request, aEnded.mOutcome);
+  if (aEnded.mOutcome != TargetOutcome::Answered) {
+    LogFailedSend(aContext, *request, aEnded.mOutcome);
+  }
   switch (aEnded.mOutcome) {
     case TargetOutcome::Answered:
       PassOn(aState, aContext, *request, aEnded.mAnswer);
@@ -370,9 +380,13 @@
     case TargetOutcome::Broken:
       HandleMaybeRun(aState, aContext, *request);
       return;
+    case TargetOutcome::ConnectFailed:
+      --request->mSends;
+      ++request->mFailedConnects;
+      HandleNotRun(aState, aContext, *request);
+      return;
     case TargetOutcome::Shed:
     case TargetOutcome::Draining:
-    case TargetOutcome::ConnectFailed:
     case TargetOutcome::Unused:
       HandleNotRun(aState, aContext, *request);
       return;
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -64,7 +64,9 @@
   LeaseId mLease = 0;
   TargetId mTarget;
   TimePoint mSentAt{};
+  /** Sends that reached a target, as far as is known. */
   unsigned mSends = 0;
+  unsigned mFailedConnects = 0;
   /** A target may have run it: "not run" can't be said any more. */
   bool mMayHaveRun = false;
   bool mIsRetry = false;
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -98,6 +98,11 @@
   message.mFingerprint = aRequest.mFingerprint;
   message.mAccount = aRequest.mAccount;
   message.mAvoid = aRequest.mAvoid;
+  if (aRequest.mGoal > Duration(0)) {
+    Duration left = aRequest.mReceivedAt + aRequest.mGoal - aContext.mNow;
+    message.mGoal = std::max(left, Duration(1));
+  }
+  message.mName = aRequest.mName;
   bool isOther = aRequest.mAskedNode != aLink.mScheduler;
   if (isOther) {
     // The one that was asked before may hold a slot for it, in words that did
--- /dev/null
+++ b/src/ProxyLog.cpp
@@ -0,0 +1,129 @@
+#include "ProxyLog.h"
+
+#include "EventNumbers.h"
+#include "ProxyVerdicts.h"
+
+namespace vanillascale {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** One ordinary success in so many is written. */
+constexpr RequestId kSuccessSample = 16;
+constexpr unsigned kFirstError = 400;
+
+std::string
+Milliseconds(Duration aTime)
+{
+  return std::to_string(aTime / milliseconds(1));
+}
+
+const char*
+OutcomeName(TargetOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case TargetOutcome::Answered:
+      return "answered";
+    case TargetOutcome::ServerError:
+      return "server-error";
+    case TargetOutcome::Shed:
+      return "not-run";
+    case TargetOutcome::Draining:
+      return "draining";
+    case TargetOutcome::ConnectFailed:
+      return "connect-failed";
+    case TargetOutcome::Broken:
+      return "broken";
+    case TargetOutcome::TimedOut:
+      return "timed-out";
+    case TargetOutcome::Cancelled:
+      return "cancelled";
+    case TargetOutcome::Unused:
+      return "unused";
+  }
+  return "unknown";
+}
+
+/** What every line of a request has: who asked for what, by which document. */
+std::string
+Head(const ProxyContext& aContext, const ProxyRequest& aRequest)
+{
+  return "request=" + aRequest.mName +
+         " route=" + aRequest.mRouteName.mValue +
+         " service=" + aRequest.mService.mValue + " document=" +
+         std::to_string(aContext.mConfig.mDocument.mRevision) +
+         " age_ms=" + Milliseconds(aContext.mNow - aRequest.mReceivedAt);
+}
+
+} // namespace
+
+void
+LogEnd(const ProxyContext& aContext,
+       const ProxyRequest& aRequest,
+       const Verdict& aVerdict,
+       const Answer* aAnswer)
+{
+  unsigned status = aAnswer ? aAnswer->mStatus : aVerdict.mStatus;
+  Duration age = aContext.mNow - aRequest.mReceivedAt;
+  bool isLate = aRequest.mGoal > Duration(0) && age > aRequest.mGoal;
+  bool isOrdinary = status > 0 && status < kFirstError && !isLate &&
+                    aRequest.mSends <= 1 && !aRequest.mIsLocal;
+  if (isOrdinary && aRequest.mId % kSuccessSample != 0) {
+    return;
+  }
+  int number = kEventRequestEnded;
+  if (aRequest.mIsCallerGone) {
+    number = kEventCallerGone;
+  } else if (aVerdict.mOutcome == RunOutcome::NotRun) {
+    number = kEventRequestRefused;
+  } else if (isLate && status < kFirstError) {
+    number = kEventRequestDelayed;
+  }
+  std::string text =
+    Head(aContext, aRequest) + " status=" + std::to_string(status) +
+    " outcome=" + OutcomeText(aVerdict.mOutcome) +
+    " reason=" + aVerdict.mReason +
+    " target=" + aRequest.mTarget.mValue +
+    " sends=" + std::to_string(aRequest.mSends) +
+    " failed_connects=" + std::to_string(aRequest.mFailedConnects) +
+    " left_ms=" + Milliseconds(aRequest.mDeadlineAt - aContext.mNow) +
+    " choice=" + (aRequest.mIsLocal ? "local" : "lease") +
+    " scheduler=" + aRequest.mAskedNode.mValue;
+  if (aVerdict.mOutcome == RunOutcome::NotRun) {
+    text += " retry_after_ms=" + Milliseconds(aVerdict.mRetryAfter);
+  }
+  aContext.mEffects.push_back(WriteEvent{ number, std::move(text) });
+}
+
+void
+LogFailedSend(const ProxyContext& aContext,
+              const ProxyRequest& aRequest,
+              TargetOutcome aOutcome)
+{
+  aContext.mEffects.push_back(WriteEvent{
+    kEventRequestRetried,
+    Head(aContext, aRequest) + " target=" + aRequest.mTarget.mValue +
+      " send=" + std::to_string(aRequest.mSends) +
+      " ended=" + OutcomeName(aOutcome) + " target_ms=" +
+      Milliseconds(aContext.mNow - aRequest.mSentAt) +
+      " idempotent=" + (aRequest.mIsIdempotent ? "yes" : "no") +
+      " lease=" + std::to_string(aRequest.mLease) +
+      " left_ms=" + Milliseconds(aRequest.mDeadlineAt - aContext.mNow) });
+}
+
+void
+LogRefusal(const ProxyContext& aContext,
+           const CallerRequest& aRequest,
+           const Verdict& aVerdict)
+{
+  aContext.mEffects.push_back(
+    WriteEvent{ kEventRequestRefused,
+                "request=" + aRequest.mName +
+                  " status=" + std::to_string(aVerdict.mStatus) +
+                  " outcome=" + OutcomeText(aVerdict.mOutcome) +
+                  " reason=" + aVerdict.mReason + " document=" +
+                  std::to_string(aContext.mConfig.mDocument.mRevision) });
+}
+
+} // namespace vanillascale
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -20,14 +20,22 @@
 constexpr Duration kShortestOverdue = milliseconds(10);
 constexpr Duration kShortestSilence = milliseconds(250);
 constexpr int kSilenceFactor = 5;
+/** Of the route's mean: work of a well target takes longer in 3 of 100. */
+constexpr int kSlowFactor = 3;
 constexpr Duration kViewInterval = seconds(30);
 constexpr Duration kClientMemory = seconds(10);
 constexpr Duration kActiveZoneMemory = seconds(5);
 constexpr int kPatiencePercent = 9;
 /** A request whose intent is written needs time to have it ended. */
 constexpr int kIntentPatiencePercent = 6;
-constexpr double kRetryShare = 0.1;
-constexpr double kMostRetryTokens = 50;
+/** Repeats may be a fifth of the requests, and some tens more in ten seconds;
+ * two schedulers that know nothing of each other must stay under it. */
+constexpr double kRetryShare = 0.16;
+constexpr double kMostRetryTokens = 30;
+constexpr double kFirstRetryTokens = 10;
+/** Work that may not be repeated waits so much of its patience for a target
+ * that is trusted. */
+constexpr int kTrustPatiencePercent = 50;
 constexpr double kDemandStep = 0.01;
 constexpr double kReserveSpread = 0.6;
 constexpr double kMeanStep = 0.02;
@@ -100,11 +108,25 @@
 }
 
 Duration
-PatienceFor(const LeaseRequest& aRequest)
+MeanTimeOf(const SchedulerState& aState, std::uint32_t aRoute)
+{
+  auto it = aState.mBaselines.find(aRoute);
+  return it == aState.mBaselines.end() ? Duration(0) : it->second.mMean;
+}
+
+/** How long a request may wait for a slot. Where its route states a goal: as
+ * long as an answer can still come within it. */
+Duration
+PatienceFor(const SchedulerState& aState, const LeaseRequest& aRequest)
 {
   int percent =
     aRequest.mIsIdempotent ? kPatiencePercent : kIntentPatiencePercent;
-  return aRequest.mDeadline * percent / 100;
+  Duration least = aRequest.mDeadline * percent / 100;
+  if (aRequest.mGoal == Duration(0)) {
+    return least;
+  }
+  Duration work = MeanTimeOf(aState, aRequest.mRoute);
+  return std::max(std::min(aRequest.mGoal, aRequest.mDeadline) - work, least);
 }
 
 std::optional<RefusalReason>
@@ -131,7 +153,7 @@
         aState.mAccounts, aNow, aRequest.mAccount, aSettings.mAccountLimit)) {
     return RefusalReason::AccountLimit;
   }
-  if (IsHopeless(aState, aNow, aRequest, PatienceFor(aRequest))) {
+  if (IsHopeless(aState, aNow, aRequest, PatienceFor(aState, aRequest))) {
     return RefusalReason::Overload;
   }
   return std::nullopt;
@@ -154,6 +176,7 @@
                aSettings.mGuaranteedPercent);
   PooledTarget& target = aState.mPool.mTargets[aTarget];
   ++(request.mIsLong ? target.mBusyLong : target.mBusyShort);
+  target.mUsedAt = aNow;
   LeaseId id = (aState.mEpoch << kEpochShift) | ++aState.mLeaseCount;
   ActiveLease lease;
   lease.mHolder = waiting.mProxy;
@@ -180,11 +203,16 @@
 }
 
 SlotDemand
-DemandOf(const WaitingLease& aWaiting)
+DemandOf(const WaitingLease& aWaiting, TimePoint aNow)
 {
   const LeaseRequest& request = aWaiting.mRequest;
   SlotDemand demand;
+  demand.mNode = aWaiting.mProxy;
   demand.mZone = aWaiting.mZone;
+  Duration patience = aWaiting.mPatienceUntil - aWaiting.mArrivedAt;
+  demand.mNeedsTrust =
+    !request.mIsIdempotent &&
+    aNow - aWaiting.mArrivedAt < patience * kTrustPatiencePercent / 100;
   demand.mAvoid = request.mAvoid;
   demand.mIsLong = request.mIsLong;
   demand.mMaySuffer =
@@ -208,13 +236,15 @@
   // may have one more request at hand for the moment a slot falls free.
   std::size_t waiting = CountUpTo(aState.mQueue, false, kPriorityLevels - 1);
   bool isOverload = !aIsLong && waiting > aState.mPool.mTargets.size();
+  bool hasTrusted = HasTrusted(aState.mPool, aNow);
   auto it = FirstOf(aState.mQueue, aIsLong, priority);
   for (std::size_t n = 0; n < kLookahead && it != aState.mQueue.mEntries.end();
        ++n, ++it) {
     if (it->first.mPriority != priority || it->first.mIsLong != aIsLong) {
       break;
     }
-    SlotDemand demand = DemandOf(it->second);
+    SlotDemand demand = DemandOf(it->second, aNow);
+    demand.mNeedsTrust = demand.mNeedsTrust && hasTrusted;
     auto target = PickTarget(aState.mPool, aNow, demand);
     if (!target && isOverload) {
       demand.mMayQueueAhead = true;
@@ -317,6 +347,42 @@
   return std::nullopt;
 }
 
+/** Adjusts the trust in a target by how a request ended. */
+void
+AdjustTrust(SchedulerState& aState,
+            TimePoint aNow,
+            const ActiveLease& aLease,
+            const LeaseReport& aReport)
+{
+  auto it = aState.mPool.mTargets.find(aLease.mTarget);
+  if (it == aState.mPool.mTargets.end()) {
+    return;
+  }
+  TargetTrust& trust = it->second.mTrust;
+  switch (aReport.mOutcome) {
+    case TargetOutcome::Answered:
+      if (!aLease.mIsDoubted) {
+        NoteProof(trust, aNow, aLease.mGrantedAt);
+      }
+      return;
+    case TargetOutcome::ServerError:
+    case TargetOutcome::Broken:
+    case TargetOutcome::TimedOut:
+      NoteFailure(trust, aNow, kFailureDoubt);
+      return;
+    case TargetOutcome::Shed:
+      NoteFailure(trust, aNow, kShedDoubt);
+      return;
+    case TargetOutcome::ConnectFailed:
+      NoteUnreached(aState.mPool, aNow, aLease.mTarget, aLease.mHolder);
+      return;
+    case TargetOutcome::Draining:
+    case TargetOutcome::Cancelled:
+    case TargetOutcome::Unused:
+      return;
+  }
+}
+
 void
 Learn(SchedulerState& aState,
       TimePoint aNow,
@@ -324,6 +390,10 @@
       const LeaseReport& aReport,
       Effects& aEffects)
 {
+  AdjustTrust(aState, aNow, aLease, aReport);
+  if (aReport.mOutcome == TargetOutcome::Answered) {
+    NoteServed(aState.mHarmful, aNow, aLease.mFingerprint);
+  }
   if (aReport.mOutcome == TargetOutcome::Draining) {
     auto it = aState.mPool.mTargets.find(aLease.mTarget);
     if (it != aState.mPool.mTargets.end()) {
@@ -374,6 +444,16 @@
   }
 }
 
+/** A request that takes long may be long work, or stuck at a gray target. */
+void
+DoubtSlow(SchedulerState& aState, TimePoint aNow, const TargetId& aTarget)
+{
+  auto it = aState.mPool.mTargets.find(aTarget);
+  if (it != aState.mPool.mTargets.end()) {
+    NoteFailure(it->second.mTrust, aNow, kSlowDoubt);
+  }
+}
+
 /** Looks at the leases that last long: asks their holders, then holds them
  * against their targets. */
 void
@@ -396,6 +476,10 @@
       lease.mIsQueried = true;
       queries[lease.mHolder].push_back(id);
     }
+    if (!lease.mIsDoubted && age > it->second.mMean * kSlowFactor) {
+      lease.mIsDoubted = true;
+      DoubtSlow(aState, aNow, lease.mTarget);
+    }
     if (!lease.mIsCountedSlow && age > overdue + kQueryGrace) {
       lease.mIsCountedSlow = true;
       Observation slow;
@@ -486,6 +570,7 @@
   state.mEpoch = aEpoch;
   state.mGrantsFrom = aNow + kListenTime;
   state.mLastAskedAt = aNow;
+  state.mRetryTokens = kFirstRetryTokens;
   return state;
 }
 
@@ -524,7 +609,7 @@
   waiting.mRequest = aRequest;
   waiting.mArrivedAt = aNow;
   waiting.mDeadlineAt = aNow + aRequest.mDeadline;
-  waiting.mPatienceUntil = aNow + PatienceFor(aRequest);
+  waiting.mPatienceUntil = aNow + PatienceFor(aState, aRequest);
   Enqueue(aState.mQueue, std::move(waiting));
   LendSlots(aState, aNow, aSettings, aEffects);
 }
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -33,6 +33,8 @@
   bool mIsQueried = false;
   /** It was held against the target that it is slow. */
   bool mIsCountedSlow = false;
+  /** It took so long that its target is doubted for it. */
+  bool mIsDoubted = false;
   /** How often its silence was held against the target. */
   unsigned mSilences = 0;
 };
--- a/src/TargetEvidence.cpp
+++ b/src/TargetEvidence.cpp
@@ -28,6 +28,7 @@
 constexpr double kFastStep = 0.2;
 constexpr double kSlowStep = 0.03;
 constexpr double kPercentile = 0.9;
+constexpr int kMeanSamples = 50;
 
 double
 Ratio(bool aIsSymptom, double aSickRate, double aWellRate)
@@ -162,8 +163,10 @@
 AddSample(LatencyBaseline& aBaseline, Duration aLatency)
 {
   if (aBaseline.mSamples == 0) {
+    aBaseline.mMean = aLatency;
     aBaseline.mNinetieth = 2 * std::max(aLatency, Duration(1));
   }
+  aBaseline.mMean += (aLatency - aBaseline.mMean) / kMeanSamples;
   double step = aBaseline.mSamples < kFastSamples ? kFastStep : kSlowStep;
   bool isAbove = aLatency > aBaseline.mNinetieth;
   double move = isAbove ? step * kPercentile : -step * (1 - kPercentile);
--- a/src/TargetEvidence.h
+++ b/src/TargetEvidence.h
@@ -92,6 +92,8 @@
 struct LatencyBaseline
 {
   Duration mNinetieth{ 0 };
+  /** The smoothed mean; 0 before the first sample. */
+  Duration mMean{ 0 };
   unsigned mSamples = 0;
 };
 
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -210,7 +210,48 @@
 }
 
 /** The order in which targets are preferred; smaller goes first. */
-using Preference = std::tuple<bool, unsigned, bool, unsigned>;
+struct Preference
+{
+  /** Doubt or a bad path, in steps. */
+  unsigned mRisk = 0;
+  bool mIsSuspect = false;
+  unsigned mBusyLong = 0;
+  /** Its last slot would be used: targets slow down when they are full. */
+  bool mIsFilledUp = false;
+  bool mIsElsewhere = false;
+  unsigned mLoad = 0;
+  /** Among equals: the latest proof first for work that may not be repeated,
+   * the longest unused first for work that may. */
+  Duration mOrder{ 0 };
+
+  bool operator<(const Preference& aOther) const
+  {
+    auto tie = [](const Preference& aIt) {
+      return std::tie(aIt.mRisk,
+                      aIt.mIsSuspect,
+                      aIt.mBusyLong,
+                      aIt.mIsFilledUp,
+                      aIt.mIsElsewhere,
+                      aIt.mLoad,
+                      aIt.mOrder);
+    };
+    return tie(*this) < tie(aOther);
+  }
+};
+
+/** How long a node's failure to connect counts: paths are cut for seconds. */
+constexpr Duration kUnreachedTime = seconds(4);
+/** Without a request for so long, a target may have turned gray unnoticed. */
+constexpr Duration kNeglectTime = milliseconds(900);
+constexpr unsigned kRiskDoubted = 1;
+constexpr unsigned kRiskUnreached = 2;
+
+bool
+IsUnreachedFrom(const PooledTarget& aTarget, TimePoint aNow, const NodeId& aNode)
+{
+  auto it = aTarget.mUnreachedFrom.find(aNode);
+  return it != aTarget.mUnreachedFrom.end() && aNow < it->second;
+}
 
 /** Whether a request should go to a target to settle whether it is well. One or
  * two at a time do, that can bear a failure; for a suspect they come from zones
@@ -218,6 +259,7 @@
 bool
 Settles(const TargetPool& aPool,
         const PooledTarget& aTarget,
+        TimePoint aNow,
         unsigned aOpen,
         const SlotDemand& aDemand)
 {
@@ -225,7 +267,8 @@
   // Silent requests may never have reached the target, so that they must not
   // keep the question open: a few go beyond the slots that they hold.
   unsigned most = aOpen + std::min(aTarget.mSilent, kSettlingRequests);
-  if (!aDemand.mMaySuffer || Busy(aTarget) >= most) {
+  if (!aDemand.mMaySuffer || Busy(aTarget) >= most ||
+      IsPausing(aTarget.mTrust, aNow)) {
     return false;
   }
   if (aTarget.mState == TargetState::Trial) {
@@ -237,6 +280,28 @@
          aTarget.mEvidence.mIsSuspect && isHeard && active < kSettlingRequests;
 }
 
+/** Whether a target that answers well again may be found out by a request. */
+bool
+IsOnTrial(const PooledTarget& aTarget, TimePoint aNow, const SlotDemand& aDemand)
+{
+  return aDemand.mMaySuffer && Busy(aTarget) == 0 &&
+         IsTrialDue(aTarget.mTrust, aNow);
+}
+
+/** Whether nobody knows any more how a target does: it gets a request that may
+ * be repeated, also from another zone. */
+bool
+IsNeglected(const PooledTarget& aTarget,
+            TimePoint aNow,
+            const SlotDemand& aDemand)
+{
+  bool isOpen = aTarget.mState == TargetState::Serving &&
+                !IsDoubted(aTarget.mTrust, aNow) && Busy(aTarget) == 0 &&
+                !IsUnreachedFrom(aTarget, aNow, aDemand.mNode);
+  return aDemand.mMaySuffer && isOpen &&
+         aNow - aTarget.mUsedAt >= kNeglectTime;
+}
+
 std::optional<Preference>
 Prefer(const TargetPool& aPool,
        const PooledTarget& aTarget,
@@ -244,28 +309,45 @@
        const SlotDemand& aDemand)
 {
   unsigned open = OpenSlotsOf(aTarget, aNow);
-  if (Settles(aPool, aTarget, open, aDemand)) {
-    return Preference{ false, 0, false, 0 };
+  if (Settles(aPool, aTarget, aNow, open, aDemand)) {
+    return Preference{};
+  }
+  if (IsNeglected(aTarget, aNow, aDemand)) {
+    Preference preference;
+    preference.mOrder = aTarget.mUsedAt.time_since_epoch();
+    return preference;
   }
   if (aTarget.mState != TargetState::Serving || open == 0) {
     return std::nullopt;
   }
-  bool isSuspect = aTarget.mEvidence.mIsSuspect;
-  bool isElsewhere = aTarget.mZone != aDemand.mZone;
+  bool isDoubted = IsDoubted(aTarget.mTrust, aNow);
+  if (isDoubted && aDemand.mNeedsTrust) {
+    return std::nullopt;
+  }
+  Preference preference;
+  preference.mRisk =
+    isDoubted && !IsOnTrial(aTarget, aNow, aDemand) ? kRiskDoubted : 0;
+  if (IsUnreachedFrom(aTarget, aNow, aDemand.mNode)) {
+    preference.mRisk = kRiskUnreached;
+  }
+  preference.mIsSuspect = aTarget.mEvidence.mIsSuspect;
+  preference.mIsElsewhere = aTarget.mZone != aDemand.mZone;
   if (aDemand.mMayQueueAhead) {
     bool hasTurnover = 2 * aTarget.mBusyLong < open;
     bool fits = hasTurnover && Busy(aTarget) < open + 1;
-    return fits ? std::make_optional(
-                    Preference{ isSuspect, aTarget.mBusyLong, isElsewhere, 0 })
-                : std::nullopt;
+    preference.mBusyLong = aTarget.mBusyLong;
+    return fits ? std::make_optional(preference) : std::nullopt;
   }
   if (Busy(aTarget) >= open) {
     return std::nullopt;
   }
-  unsigned load = 100 * Busy(aTarget) / open;
-  return aDemand.mIsLong
-           ? Preference{ isSuspect, aTarget.mBusyLong, isElsewhere, load }
-           : Preference{ isSuspect, 0, isElsewhere, load };
+  preference.mBusyLong = aDemand.mIsLong ? aTarget.mBusyLong : 0;
+  preference.mIsFilledUp = open > 1 && Busy(aTarget) + 1 >= open;
+  preference.mLoad = 100 * Busy(aTarget) / open;
+  preference.mOrder = aDemand.mMaySuffer
+                        ? aTarget.mUsedAt.time_since_epoch()
+                        : -aTarget.mTrust.mProvedAt.time_since_epoch();
+  return preference;
 }
 
 } // namespace
@@ -288,6 +370,9 @@
     target.mZone = it.mZone;
     target.mSlots = it.mSlots;
     target.mIsLeaving = it.mIsLeaving;
+    if (it.mColdLeft > Duration(0)) {
+      target.mColdUntil = std::max(target.mColdUntil, aNow + it.mColdLeft);
+    }
     if (isNew) {
       target.mSeenAt = aNow;
       target.mWasCold = aPool.mHasView;
@@ -340,6 +425,16 @@
   return n;
 }
 
+bool
+HasTrusted(const TargetPool& aPool, TimePoint aNow)
+{
+  return std::any_of(
+    aPool.mTargets.begin(), aPool.mTargets.end(), [&](const auto& aEntry) {
+      return IsUsable(aEntry.second, aNow) &&
+             !IsDoubted(aEntry.second.mTrust, aNow);
+    });
+}
+
 std::optional<TargetId>
 PickTarget(const TargetPool& aPool, TimePoint aNow, const SlotDemand& aDemand)
 {
@@ -360,6 +455,32 @@
   return best ? std::make_optional(*best) : std::nullopt;
 }
 
+void
+NoteUnreached(TargetPool& aPool,
+              TimePoint aNow,
+              const TargetId& aTarget,
+              const NodeId& aNode)
+{
+  auto it = aPool.mTargets.find(aTarget);
+  if (it == aPool.mTargets.end()) {
+    return;
+  }
+  PooledTarget& target = it->second;
+  bool isSeenByOthers = false;
+  for (auto entry = target.mUnreachedFrom.begin();
+       entry != target.mUnreachedFrom.end();) {
+    isSeenByOthers = isSeenByOthers ||
+                     (aNow < entry->second && entry->first != aNode &&
+                      target.mTrust.mProvedAt < entry->second - kUnreachedTime);
+    entry = aNow >= entry->second ? target.mUnreachedFrom.erase(entry)
+                                  : std::next(entry);
+  }
+  target.mUnreachedFrom[aNode] = aNow + kUnreachedTime;
+  if (isSeenByOthers) {
+    NoteFailure(target.mTrust, aNow, 2 * kFailureDoubt);
+  }
+}
+
 std::vector<PoolChange>
 Observe(TargetPool& aPool,
         TimePoint aNow,
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -3,6 +3,7 @@
 
 #include "NodeEvents.h"
 #include "TargetEvidence.h"
+#include "TargetTrust.h"
 
 #include <map>
 #include <optional>
@@ -50,6 +51,14 @@
   Duration mPause{ 0 };
   TimePoint mReturnedAt{};
   TargetEvidence mEvidence;
+  TargetTrust mTrust;
+  /** Until when it is slow after its start, by its own word. */
+  TimePoint mColdUntil{};
+  /** When a request last went to it. */
+  TimePoint mUsedAt{};
+  /** Nodes that could not connect to it, with the time until which they are
+   * sent elsewhere. */
+  std::map<NodeId, TimePoint> mUnreachedFrom;
   /** The running verdict of a trial: up for sick, down for well. */
   SequentialTest mTrial;
   std::map<ZoneName, AvoidedPath> mAvoided;
@@ -71,9 +80,13 @@
 /** What a request needs of a target. */
 struct SlotDemand
 {
+  NodeId mNode;
   ZoneName mZone;
   TargetId mAvoid;
   bool mIsLong = false;
+  /** May not be repeated: goes to targets that are trusted, as long as it can
+   * wait for one. */
+  bool mNeedsTrust = false;
   /** May try out a target that is suspected: idempotent, short and fresh. */
   bool mMaySuffer = false;
   /** May wait at a busy target for its next free slot. */
@@ -113,12 +126,24 @@
 unsigned
 BusyShortSlots(const TargetPool& aPool);
 
+/** Whether any usable target is trusted with work that may not be repeated. */
+bool
+HasTrusted(const TargetPool& aPool, TimePoint aNow);
+
 /** Picks the target for a request: the least suspect with a free slot, of the
  * request's own zone if there is one. Long work goes where there is least of
  * it, so that it is spread. Returns nothing where no slot is free. Pure. */
 std::optional<TargetId>
 PickTarget(const TargetPool& aPool, TimePoint aNow, const SlotDemand& aDemand);
 
+/** Notes that a node could not connect to a target. Where others could not
+ * either, the target itself is doubted. */
+void
+NoteUnreached(TargetPool& aPool,
+              TimePoint aNow,
+              const TargetId& aTarget,
+              const NodeId& aNode);
+
 /** Adds an observation of a target and acts on what the evidence now says:
  * ejects the target, or leaves out one zone's path to it, or ends its trial.
  * Never takes usable capacity under the floor. */
--- /dev/null
+++ b/src/TargetTrust.h
@@ -0,0 +1,66 @@
+#ifndef VANILLASCALE_TARGETTRUST_H
+#define VANILLASCALE_TARGETTRUST_H
+
+#include "Clock.h"
+
+namespace vanillascale {
+
+/** How far a target is trusted with the next request.
+ *
+ * Load pattern: targets turn gray for about a second, or for some seconds, and
+ * each gets a few requests in that time. They mostly fail them at once, so that
+ * by its requests in flight a gray target looks like the best one. A test that
+ * waits for certainty comes too late, and taking a target out of use on one
+ * failure costs capacity. So trust is graded: a failure makes the target the
+ * last choice for a while, and only a request that was sent after the failure
+ * and answered well restores it. Requests that may be repeated go first to find
+ * out. Not thread safe. */
+struct TargetTrust
+{
+  /** Failures that weigh against the target now; 0 for none. */
+  double mDoubt = 0;
+  TimePoint mDoubtAt{};
+  /** The latest failure; requests sent before it prove nothing. */
+  TimePoint mFailedAt{};
+  /** Failures of the last seconds: how long to wait before trying it again. */
+  double mHistory = 0;
+  /** The latest good answer. */
+  TimePoint mProvedAt{};
+};
+
+/** What weighs how much against a target, in failures. */
+constexpr double kFailureDoubt = 1.0;
+/** A target that is full says so; that it is gray is only one reason. */
+constexpr double kShedDoubt = 0.4;
+/** One slow answer or silent request is most often long work. */
+constexpr double kSlowDoubt = 0.25;
+
+/** Adds a failure. */
+void
+NoteFailure(TargetTrust& aTrust, TimePoint aNow, double aDoubt);
+
+/** Takes in a good answer to a request that was sent at aSentAt. */
+void
+NoteProof(TargetTrust& aTrust, TimePoint aNow, TimePoint aSentAt);
+
+/** The doubt that is left; it halves over time. Pure. */
+double
+DoubtOf(const TargetTrust& aTrust, TimePoint aNow);
+
+/** Whether work that may not be repeated should go elsewhere. Pure. */
+bool
+IsDoubted(const TargetTrust& aTrust, TimePoint aNow);
+
+/** Whether failures are so frequent that another request, also one that may be
+ * repeated, would only add to them. Pure. */
+bool
+IsPausing(const TargetTrust& aTrust, TimePoint aNow);
+
+/** Whether it is time to find out, with a request that may be repeated, if a
+ * doubted target is well again. Pure. */
+bool
+IsTrialDue(const TargetTrust& aTrust, TimePoint aNow);
+
+} // namespace vanillascale
+
+#endif
