Let a leaving node finish what callers still send on kept connections

Change: the loop ends when nothing is unwritten and idle connections are closed, or just before the process would be ended; from half of the time to stop on new requests are told 'stopping, not run'. Leaving takes 2.3 s, two questions of the balancer.

--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -16,8 +16,9 @@
 /** While the list is empty the node can serve nobody. */
 constexpr Duration kEmptyVmListInterval = milliseconds(100);
 constexpr Duration kIdleSchedulerTime = seconds(5);
-/** Long enough for the fleet to learn that a node is leaving. */
-constexpr Duration kLeavingTime = milliseconds(1500);
+/** Long enough for the fleet to learn that a node is leaving, and for a
+ * balancer that asks each second to miss two answers. */
+constexpr Duration kLeavingTime = milliseconds(2300);
 constexpr Duration kLongestLeavingTime = std::chrono::minutes(10);
 
 /** Documents change rarely and have to be in force within two seconds. */
@@ -45,12 +46,19 @@
   return settings;
 }
 
+/** Whether what comes in now might not end before the process is ended. */
+bool
+RefusesNew(const NodeState& aState, TimePoint aNow)
+{
+  return aState.mIsStopping && aState.mIdentity.mStopWithin > Duration(0) &&
+         aNow - aState.mStoppingSince >= aState.mIdentity.mStopWithin / 2;
+}
+
 ProxyContext
 ContextOf(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
-  return {
-    aNow, aState.mMembers, aState.mConfig.mConfig, aState.mRandom, aEffects
-  };
+  return { aNow,           aState.mMembers, aState.mConfig.mConfig,
+           aState.mRandom, aEffects,        RefusesNew(aState, aNow) };
 }
 
 FeedContext
@@ -363,7 +371,10 @@
   Duration age = aNow - aState.mStoppingSince;
   bool isDone = aState.mProxy.mRequests.empty() &&
                 aState.mProxy.mAbandoned.empty() && age >= kLeavingTime;
-  if (isDone || age >= kLongestLeavingTime) {
+  Duration longest = aState.mIdentity.mStopWithin > Duration(0)
+                       ? aState.mIdentity.mStopWithin
+                       : kLongestLeavingTime;
+  if (isDone || age >= longest) {
     aState.mIsStopped = true;
     aEffects.push_back(Stop{});
   }
--- a/src/NodeRuntime.cpp
+++ b/src/NodeRuntime.cpp
@@ -28,6 +28,8 @@
 constexpr Duration kSweepInterval = milliseconds(500);
 /** What the kernel gets to send the last answers. */
 constexpr Duration kFlushTime = milliseconds(100);
+/** Left of the time to stop for the process's own end. */
+constexpr Duration kExitMargin = milliseconds(500);
 /** A connection without a request for so long has no request on its way, as far
  * as round trips go, and is closed when the node leaves. */
 constexpr Duration kIdleBeforeClose = milliseconds(300);
@@ -238,18 +240,32 @@
     Write(kEventReloaded, "outcome=done");
   }
 
+  /** Whether the process would be ended in a moment if it did not end itself.
+   */
+  bool IsAtEnd() const
+  {
+    return mState.mIsStopping && mSettings.mStopWithin > Duration(0) &&
+           Now() - mState.mStoppingSince >= mSettings.mStopWithin - kExitMargin;
+  }
+
   /** Ends the loop when the core has stopped and its answers are on their way.
    */
   void StopIfDone()
   {
     if (!mIsStopped) {
+      if (IsAtEnd()) {
+        mLoop.stop();
+      }
       return;
     }
+    // Callers go on using the connections that they have: each is closed when
+    // it has been without a request for a while.
     mCallers->CloseIdleCallers(kIdleBeforeClose);
-    bool isFlushed =
-      mCallers->CountUnwritten() == 0 && Now() - mStoppedAt >= kFlushTime;
-    bool isLate = Now() - mStoppedAt >= kIdleBeforeClose * 2;
-    if (isFlushed || isLate) {
+    Duration age = Now() - mStoppedAt;
+    bool isQuiet =
+      mCallers->CountUnwritten() == 0 &&
+      (mCallers->CountConnections() == 0 || age >= kIdleBeforeClose * 2);
+    if ((isQuiet && age >= kFlushTime) || IsAtEnd()) {
       Write(kEventStopped, "");
       mLog.Flush(Now());
       mLoop.stop();
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -111,8 +111,8 @@
 MayRetry(const ProxyContext& aContext, const ProxyRequest& aRequest)
 {
   return aRequest.mSends < aRequest.mAttempts &&
-         aRequest.mFailedConnects < kMostFailedConnects && !aRequest.mIsCallerGone &&
-         aContext.mNow < aRequest.mDeadlineAt;
+         aRequest.mFailedConnects < kMostFailedConnects &&
+         !aRequest.mIsCallerGone && aContext.mNow < aRequest.mDeadlineAt;
 }
 
 void
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -152,6 +152,8 @@
   const ConfigState& mConfig;
   Random& mRandom;
   Effects& mEffects;
+  /** The process will end before new requests could. */
+  bool mRefusesNew = false;
 };
 
 /** Takes in a caller's request and starts it on its way. */
--- a/src/ProxyAdmission.cpp
+++ b/src/ProxyAdmission.cpp
@@ -56,6 +56,9 @@
   if (aContext.mConfig.mDocument.mEnvironment.empty()) {
     return Verdict{ kStatusUnavailable, outcome, kReasonStarting };
   }
+  if (aContext.mRefusesNew) {
+    return Verdict{ kStatusUnavailable, outcome, kReasonStopping, Duration(0) };
+  }
   if (!aRoute) {
     return Verdict{ kStatusNotFound, outcome, kReasonUnknownRoute };
   }
--- a/src/ProxyLog.cpp
+++ b/src/ProxyLog.cpp
@@ -49,10 +49,9 @@
 std::string
 Head(const ProxyContext& aContext, const ProxyRequest& aRequest)
 {
-  return "request=" + aRequest.mName +
-         " route=" + aRequest.mRouteName.mValue +
-         " service=" + aRequest.mService.mValue + " document=" +
-         std::to_string(aContext.mConfig.mDocument.mRevision) +
+  return "request=" + aRequest.mName + " route=" + aRequest.mRouteName.mValue +
+         " service=" + aRequest.mService.mValue +
+         " document=" + std::to_string(aContext.mConfig.mDocument.mRevision) +
          " age_ms=" + Milliseconds(aContext.mNow - aRequest.mReceivedAt);
 }
 
@@ -83,8 +82,7 @@
   std::string text =
     Head(aContext, aRequest) + " status=" + std::to_string(status) +
     " outcome=" + OutcomeText(aVerdict.mOutcome) +
-    " reason=" + aVerdict.mReason +
-    " target=" + aRequest.mTarget.mValue +
+    " reason=" + aVerdict.mReason + " target=" + aRequest.mTarget.mValue +
     " sends=" + std::to_string(aRequest.mSends) +
     " failed_connects=" + std::to_string(aRequest.mFailedConnects) +
     " left_ms=" + Milliseconds(aRequest.mDeadlineAt - aContext.mNow) +
@@ -103,10 +101,9 @@
 {
   aContext.mEffects.push_back(WriteEvent{
     kEventRequestRetried,
-    Head(aContext, aRequest) + " target=" + aRequest.mTarget.mValue +
-      " send=" + std::to_string(aRequest.mSends) +
-      " ended=" + OutcomeName(aOutcome) + " target_ms=" +
-      Milliseconds(aContext.mNow - aRequest.mSentAt) +
+    Head(aContext, aRequest) + " target=" + aRequest.mTarget.mValue + " send=" +
+      std::to_string(aRequest.mSends) + " ended=" + OutcomeName(aOutcome) +
+      " target_ms=" + Milliseconds(aContext.mNow - aRequest.mSentAt) +
       " idempotent=" + (aRequest.mIsIdempotent ? "yes" : "no") +
       " lease=" + std::to_string(aRequest.mLease) +
       " left_ms=" + Milliseconds(aRequest.mDeadlineAt - aContext.mNow) });
@@ -117,13 +114,12 @@
            const CallerRequest& aRequest,
            const Verdict& aVerdict)
 {
-  aContext.mEffects.push_back(
-    WriteEvent{ kEventRequestRefused,
-                "request=" + aRequest.mName +
-                  " status=" + std::to_string(aVerdict.mStatus) +
-                  " outcome=" + OutcomeText(aVerdict.mOutcome) +
-                  " reason=" + aVerdict.mReason + " document=" +
-                  std::to_string(aContext.mConfig.mDocument.mRevision) });
+  aContext.mEffects.push_back(WriteEvent{
+    kEventRequestRefused,
+    "request=" + aRequest.mName +
+      " status=" + std::to_string(aVerdict.mStatus) + " outcome=" +
+      OutcomeText(aVerdict.mOutcome) + " reason=" + aVerdict.mReason +
+      " document=" + std::to_string(aContext.mConfig.mDocument.mRevision) });
 }
 
 } // namespace vanillascale
--- a/src/ProxyVerdicts.h
+++ b/src/ProxyVerdicts.h
@@ -7,6 +7,7 @@
 
 /** Reasons that callers are told. docs/CALLERS.md lists them. */
 constexpr const char* kReasonStarting = "starting";
+constexpr const char* kReasonStopping = "stopping";
 constexpr const char* kReasonUnknownRoute = "unknown-route";
 constexpr const char* kReasonMissingKey = "missing-idempotency-key";
 constexpr const char* kReasonBadKey = "bad-idempotency-key";
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -247,7 +247,9 @@
 constexpr unsigned kRiskUnreached = 2;
 
 bool
-IsUnreachedFrom(const PooledTarget& aTarget, TimePoint aNow, const NodeId& aNode)
+IsUnreachedFrom(const PooledTarget& aTarget,
+                TimePoint aNow,
+                const NodeId& aNode)
 {
   auto it = aTarget.mUnreachedFrom.find(aNode);
   return it != aTarget.mUnreachedFrom.end() && aNow < it->second;
@@ -282,7 +284,9 @@
 
 /** Whether a target that answers well again may be found out by a request. */
 bool
-IsOnTrial(const PooledTarget& aTarget, TimePoint aNow, const SlotDemand& aDemand)
+IsOnTrial(const PooledTarget& aTarget,
+          TimePoint aNow,
+          const SlotDemand& aDemand)
 {
   return aDemand.mMaySuffer && Busy(aTarget) == 0 &&
          IsTrialDue(aTarget.mTrust, aNow);
@@ -298,8 +302,7 @@
   bool isOpen = aTarget.mState == TargetState::Serving &&
                 !IsDoubted(aTarget.mTrust, aNow) && Busy(aTarget) == 0 &&
                 !IsUnreachedFrom(aTarget, aNow, aDemand.mNode);
-  return aDemand.mMaySuffer && isOpen &&
-         aNow - aTarget.mUsedAt >= kNeglectTime;
+  return aDemand.mMaySuffer && isOpen && aNow - aTarget.mUsedAt >= kNeglectTime;
 }
 
 std::optional<Preference>
