Space the trials of doubted targets by the rate of requests

Change: the pause is the time of 40 requests, 450 ms at most; retryPercent is part of a service (default 10); a slow answer is no failure; unsafe work also spreads over neglected targets while many requests fail (FLOOR); a scheduler that was passed over and is heard again is asked again.

--- a/src/Document.cpp
+++ b/src/Document.cpp
@@ -15,6 +15,7 @@
 
 constexpr unsigned kMaxPriority = 9;
 constexpr unsigned kMaxPercent = 100;
+constexpr unsigned kDefaultRetryPercent = 10;
 constexpr unsigned kMaxAccountLimit = 1000000;
 constexpr unsigned kMinDeadlineMs = 10;
 constexpr unsigned kMaxDeadlineMs = 600000;
@@ -162,6 +163,8 @@
     reader.Number("accountLimit", 0, kMaxAccountLimit, 0U);
   service.mGuaranteedPercent =
     reader.Number("guaranteedPercent", 0, kMaxPercent / 2, 5U);
+  service.mRetryPercent =
+    reader.Number("retryPercent", 0, kMaxPercent, kDefaultRetryPercent);
   reader.RefuseOthers();
   return service;
 }
@@ -379,13 +382,15 @@
 std::string
 FormatService(const Service& aService)
 {
-  return Json{
-    { "name", aService.mName.mValue },
-    { "vmGroup", aService.mVmGroup },
-    { "floorPercent", aService.mFloorPercent },
-    { "accountLimit", aService.mAccountLimit },
-    { "guaranteedPercent", aService.mGuaranteedPercent }
-  }.dump();
+  Json json{ { "name", aService.mName.mValue },
+             { "vmGroup", aService.mVmGroup },
+             { "floorPercent", aService.mFloorPercent },
+             { "accountLimit", aService.mAccountLimit },
+             { "guaranteedPercent", aService.mGuaranteedPercent } };
+  if (aService.mRetryPercent != kDefaultRetryPercent) {
+    json["retryPercent"] = aService.mRetryPercent;
+  }
+  return json.dump();
 }
 
 std::string
--- a/src/Document.h
+++ b/src/Document.h
@@ -46,6 +46,8 @@
   /** The share of slot time, in percent, that each priority below the first
    * keeps while higher ones could use every slot. */
   unsigned mGuaranteedPercent = 5;
+  /** Repeated sends, in percent of the requests. */
+  unsigned mRetryPercent = 10;
   LogOffset mVersion = 0;
 };
 
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -350,6 +350,11 @@
                    const NodeId& aFrom)
 {
   SchedulerLink& link = LinkOf(aState, aContext, aService);
+  if (link.mPassedOver.erase(aFrom) > 0) {
+    // It was only slow, or its words were lost.
+    link.mPassOverEndsAt = TimePoint{};
+    return;
+  }
   if (link.mScheduler != aFrom) {
     return;
   }
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -28,20 +28,56 @@
 constexpr int kPatiencePercent = 9;
 /** A request whose intent is written needs time to have it ended. */
 constexpr int kIntentPatiencePercent = 6;
-/** Repeats may be a fifth of the requests, and some tens more in ten seconds;
- * two schedulers that know nothing of each other must stay under it. */
-constexpr double kRetryShare = 0.16;
+/** Two schedulers that know nothing of each other may save up so much. */
 constexpr double kMostRetryTokens = 30;
-constexpr double kFirstRetryTokens = 10;
 /** Work that may not be repeated waits so much of its patience for a target
  * that is trusted. */
 constexpr int kTrustPatiencePercent = 50;
+constexpr Duration kLatelyHalfLife = seconds(1);
+/** Targets must be spread over where a tenth is not served. */
+constexpr double kManyUnserved = 0.07;
+/** Up to a third of the targets may be gray at a time: their trials take about
+ * a tenth of the requests. */
+constexpr int kRequestsPerTrial = 40;
+constexpr int kGapSamples = 32;
 constexpr double kDemandStep = 0.01;
 constexpr double kReserveSpread = 0.6;
 constexpr double kMeanStep = 0.02;
 constexpr std::size_t kLookahead = 4;
 constexpr int kEpochShift = 32;
 
+/** Counts a request of the service that was, or was not, served. */
+void
+CountLately(SchedulerState& aState, TimePoint aNow, bool aIsServed)
+{
+  double halves = static_cast<double>((aNow - aState.mLatelyAt).count()) /
+                  static_cast<double>(kLatelyHalfLife.count());
+  double kept = std::exp2(-halves);
+  aState.mServedLately = kept * aState.mServedLately + (aIsServed ? 1 : 0);
+  aState.mUnservedLately = kept * aState.mUnservedLately + (aIsServed ? 0 : 1);
+  aState.mLatelyAt = aNow;
+}
+
+bool
+AreManyUnserved(const SchedulerState& aState)
+{
+  return aState.mUnservedLately >
+         kManyUnserved * (aState.mServedLately + aState.mUnservedLately);
+}
+
+/** Spaces the requests that try doubted targets by the rate of requests, so
+ * that a busy service learns fast and a quiet one does not spend its requests
+ * on them. */
+void
+NoteArrival(SchedulerState& aState, TimePoint aNow)
+{
+  Duration gap = aNow - aState.mArrivedAt;
+  aState.mArrivalGap += (gap - aState.mArrivalGap) / kGapSamples;
+  aState.mArrivedAt = aNow;
+  aState.mPool.mTrialPause =
+    std::min(aState.mArrivalGap * kRequestsPerTrial, kLongestTrialPause);
+}
+
 void
 Refuse(SchedulerState& aState,
        const NodeId& aProxy,
@@ -197,8 +233,8 @@
   aState.mLeases.emplace(id, std::move(lease));
   ++aState.mCounters.mGrants;
   if (!request.mIsRetry) {
-    aState.mRetryTokens =
-      std::min(aState.mRetryTokens + kRetryShare, kMostRetryTokens);
+    aState.mRetryTokens = std::min(
+      aState.mRetryTokens + aSettings.mRetryPercent / 100.0, kMostRetryTokens);
   }
 }
 
@@ -237,6 +273,7 @@
   std::size_t waiting = CountUpTo(aState.mQueue, false, kPriorityLevels - 1);
   bool isOverload = !aIsLong && waiting > aState.mPool.mTargets.size();
   bool hasTrusted = HasTrusted(aState.mPool, aNow);
+  bool areManyUnserved = AreManyUnserved(aState);
   auto it = FirstOf(aState.mQueue, aIsLong, priority);
   for (std::size_t n = 0; n < kLookahead && it != aState.mQueue.mEntries.end();
        ++n, ++it) {
@@ -245,6 +282,7 @@
     }
     SlotDemand demand = DemandOf(it->second, aNow);
     demand.mNeedsTrust = demand.mNeedsTrust && hasTrusted;
+    demand.mMaySpread = areManyUnserved;
     auto target = PickTarget(aState.mPool, aNow, demand);
     if (!target && isOverload) {
       demand.mMayQueueAhead = true;
@@ -391,6 +429,13 @@
       Effects& aEffects)
 {
   AdjustTrust(aState, aNow, aLease, aReport);
+  bool isServed = aReport.mOutcome == TargetOutcome::Answered;
+  bool isUnserved = aReport.mOutcome == TargetOutcome::ServerError ||
+                    aReport.mOutcome == TargetOutcome::Broken ||
+                    aReport.mOutcome == TargetOutcome::TimedOut;
+  if (isServed || isUnserved) {
+    CountLately(aState, aNow, isServed);
+  }
   if (aReport.mOutcome == TargetOutcome::Answered) {
     NoteServed(aState.mHarmful, aNow, aLease.mFingerprint);
   }
@@ -450,7 +495,7 @@
 {
   auto it = aState.mPool.mTargets.find(aTarget);
   if (it != aState.mPool.mTargets.end()) {
-    NoteFailure(it->second.mTrust, aNow, kSlowDoubt);
+    NoteSlow(it->second.mTrust, aNow);
   }
 }
 
@@ -476,7 +521,11 @@
       lease.mIsQueried = true;
       queries[lease.mHolder].push_back(id);
     }
-    if (!lease.mIsDoubted && age > it->second.mMean * kSlowFactor) {
+    // Only a holder that was asked, and did not say that it no longer has the
+    // lease, shows that the target is slow.
+    bool isConfirmed = lease.mIsQueried && age > overdue + kQueryGrace;
+    if (isConfirmed && !lease.mIsDoubted &&
+        age > it->second.mMean * kSlowFactor) {
       lease.mIsDoubted = true;
       DoubtSlow(aState, aNow, lease.mTarget);
     }
@@ -570,7 +619,6 @@
   state.mEpoch = aEpoch;
   state.mGrantsFrom = aNow + kListenTime;
   state.mLastAskedAt = aNow;
-  state.mRetryTokens = kFirstRetryTokens;
   return state;
 }
 
@@ -598,6 +646,7 @@
     aEffects.push_back(SendPeer{ aFrom, LeaseQueued{ aRequest.mRequest } });
     return;
   }
+  NoteArrival(aState, aNow);
   auto refusal = FindRefusal(aState, aNow, aSettings, aRequest);
   if (refusal) {
     Refuse(aState, aFrom, aRequest.mRequest, *refusal, aEffects);
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -78,6 +78,14 @@
   AccountLimits mAccounts;
   HarmfulRequests mHarmful;
   std::map<NodeId, SchedulerClient> mClients;
+  /** Requests that were served and that were not, lately; they halve with time.
+   */
+  double mServedLately = 0;
+  double mUnservedLately = 0;
+  TimePoint mLatelyAt{};
+  /** The smoothed time between requests. */
+  Duration mArrivalGap{ 0 };
+  TimePoint mArrivedAt{};
   /** Sends that may be repeated, as a share of fresh ones. */
   double mRetryTokens = 0;
   /** Slots that short work was seen to need, smoothed. */
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -243,6 +243,8 @@
 constexpr Duration kUnreachedTime = seconds(4);
 /** Without a request for so long, a target may have turned gray unnoticed. */
 constexpr Duration kNeglectTime = milliseconds(900);
+/** Sound targets must not be left out for two seconds while others fail. */
+constexpr Duration kSpreadTime = milliseconds(1300);
 constexpr unsigned kRiskDoubted = 1;
 constexpr unsigned kRiskUnreached = 2;
 
@@ -270,7 +272,7 @@
   // keep the question open: a few go beyond the slots that they hold.
   unsigned most = aOpen + std::min(aTarget.mSilent, kSettlingRequests);
   if (!aDemand.mMaySuffer || Busy(aTarget) >= most ||
-      IsPausing(aTarget.mTrust, aNow)) {
+      IsPausing(aTarget.mTrust, aNow, aPool.mTrialPause)) {
     return false;
   }
   if (aTarget.mState == TargetState::Trial) {
@@ -284,12 +286,13 @@
 
 /** Whether a target that answers well again may be found out by a request. */
 bool
-IsOnTrial(const PooledTarget& aTarget,
+IsOnTrial(const TargetPool& aPool,
+          const PooledTarget& aTarget,
           TimePoint aNow,
           const SlotDemand& aDemand)
 {
   return aDemand.mMaySuffer && Busy(aTarget) == 0 &&
-         IsTrialDue(aTarget.mTrust, aNow);
+         IsTrialDue(aTarget.mTrust, aNow, aPool.mTrialPause);
 }
 
 /** Whether nobody knows any more how a target does: it gets a request that may
@@ -302,7 +305,10 @@
   bool isOpen = aTarget.mState == TargetState::Serving &&
                 !IsDoubted(aTarget.mTrust, aNow) && Busy(aTarget) == 0 &&
                 !IsUnreachedFrom(aTarget, aNow, aDemand.mNode);
-  return aDemand.mMaySuffer && isOpen && aNow - aTarget.mUsedAt >= kNeglectTime;
+  Duration unused = aNow - aTarget.mUsedAt;
+  bool isDue = (aDemand.mMaySuffer && unused >= kNeglectTime) ||
+               (aDemand.mMaySpread && unused >= kSpreadTime);
+  return isOpen && isDue;
 }
 
 std::optional<Preference>
@@ -329,7 +335,7 @@
   }
   Preference preference;
   preference.mRisk =
-    isDoubted && !IsOnTrial(aTarget, aNow, aDemand) ? kRiskDoubted : 0;
+    isDoubted && !IsOnTrial(aPool, aTarget, aNow, aDemand) ? kRiskDoubted : 0;
   if (IsUnreachedFrom(aTarget, aNow, aDemand.mNode)) {
     preference.mRisk = kRiskUnreached;
   }
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -70,6 +70,8 @@
   std::map<TargetId, PooledTarget> mTargets;
   /** Ejection leaves at least this share of the slots in use, in percent. */
   unsigned mFloorPercent = 50;
+  /** The shortest pause between requests that try a doubted target. */
+  Duration mTrialPause = kLongestTrialPause;
   /** Failures that the targets have in common, 0 to 1. */
   double mBaseFailureRate = 0;
   /** The number of zones whose proxies use the service now. */
@@ -89,6 +91,9 @@
   bool mNeedsTrust = false;
   /** May try out a target that is suspected: idempotent, short and fresh. */
   bool mMaySuffer = false;
+  /** Many requests of the service fail: targets of which nobody knows any more
+   * how they do are tried also with work that may not be repeated. */
+  bool mMaySpread = false;
   /** May wait at a busy target for its next free slot. */
   bool mMayQueueAhead = false;
 };
--- a/src/TargetTrust.cpp
+++ b/src/TargetTrust.cpp
@@ -20,7 +20,6 @@
 /** The share of doubt that a proof leaves where failures were frequent. */
 constexpr double kDoubtKept = 0.3;
 constexpr double kSingleFailure = 1.5;
-constexpr Duration kFirstTrialPause = milliseconds(450);
 
 double
 Decay(double aValue, Duration aAge, Duration aHalfLife)
@@ -37,9 +36,9 @@
 }
 
 Duration
-TrialPause(double aHistory)
+Lengthen(Duration aTrialPause, double aHistory)
 {
-  return std::chrono::duration_cast<Duration>(kFirstTrialPause *
+  return std::chrono::duration_cast<Duration>(aTrialPause *
                                               std::max(1.0, aHistory));
 }
 
@@ -54,6 +53,13 @@
   aTrust.mFailedAt = aNow;
 }
 
+void
+NoteSlow(TargetTrust& aTrust, TimePoint aNow)
+{
+  aTrust.mDoubt = std::min(DoubtOf(aTrust, aNow) + kSlowDoubt, kMostDoubt);
+  aTrust.mDoubtAt = aNow;
+}
+
 void
 NoteProof(TargetTrust& aTrust, TimePoint aNow, TimePoint aSentAt)
 {
@@ -81,18 +87,19 @@
 }
 
 bool
-IsPausing(const TargetTrust& aTrust, TimePoint aNow)
+IsPausing(const TargetTrust& aTrust, TimePoint aNow, Duration aTrialPause)
 {
   double history = HistoryOf(aTrust, aNow);
   return history > kSingleFailure &&
-         aNow - aTrust.mFailedAt < TrialPause(history);
+         aNow - aTrust.mFailedAt < Lengthen(aTrialPause, history);
 }
 
 bool
-IsTrialDue(const TargetTrust& aTrust, TimePoint aNow)
+IsTrialDue(const TargetTrust& aTrust, TimePoint aNow, Duration aTrialPause)
 {
   return IsDoubted(aTrust, aNow) &&
-         aNow - aTrust.mFailedAt >= TrialPause(HistoryOf(aTrust, aNow));
+         aNow - aTrust.mFailedAt >=
+           Lengthen(aTrialPause, HistoryOf(aTrust, aNow));
 }
 
 } // namespace vanillascale
--- a/src/TargetTrust.h
+++ b/src/TargetTrust.h
@@ -28,6 +28,10 @@
   TimePoint mProvedAt{};
 };
 
+/** The longest pause before a doubted target that failed once is tried again:
+ * half of the shortest spells. */
+constexpr Duration kLongestTrialPause = std::chrono::milliseconds(450);
+
 /** What weighs how much against a target, in failures. */
 constexpr double kFailureDoubt = 1.0;
 /** A target that is full says so; that it is gray is only one reason. */
@@ -39,6 +43,11 @@
 void
 NoteFailure(TargetTrust& aTrust, TimePoint aNow, double aDoubt);
 
+/** Adds the doubt of a request that takes long. It does not count as a failure:
+ * the request may be long, or its lease lost on the way. */
+void
+NoteSlow(TargetTrust& aTrust, TimePoint aNow);
+
 /** Takes in a good answer to a request that was sent at aSentAt. */
 void
 NoteProof(TargetTrust& aTrust, TimePoint aNow, TimePoint aSentAt);
@@ -54,12 +63,13 @@
 /** Whether failures are so frequent that another request, also one that may be
  * repeated, would only add to them. Pure. */
 bool
-IsPausing(const TargetTrust& aTrust, TimePoint aNow);
+IsPausing(const TargetTrust& aTrust, TimePoint aNow, Duration aTrialPause);
 
 /** Whether it is time to find out, with a request that may be repeated, if a
- * doubted target is well again. Pure. */
+ * doubted target is well again. aTrialPause is the pause after one failure; it
+ * grows with the failures of the last seconds. Pure. */
 bool
-IsTrialDue(const TargetTrust& aTrust, TimePoint aNow);
+IsTrialDue(const TargetTrust& aTrust, TimePoint aNow, Duration aTrialPause);
 
 } // namespace vanillascale
 
--- a/test/performance/Detection.cpp
+++ b/test/performance/Detection.cpp
@@ -238,7 +238,8 @@
 std::vector<Measure>
 RunPoison(std::uint64_t aSeed)
 {
-  constexpr std::uint64_t kPoison = 0xbad;
+  // Ordinary arrivals are numbered from 1: this is none of theirs.
+  constexpr std::uint64_t kPoison = std::uint64_t(1) << 62;
   Setup setup = HalfLoad(aSeed, seconds(25));
   for (int i = 0; i < 20; ++i) {
     Arrival poison;
