--- a/src/Dialects.cpp
+++ b/src/Dialects.cpp
@@ -53,6 +53,15 @@
   return aStatus >= kFirstSuccess && aStatus < kFirstRedirect;
 }
 
+/** Whether callers take a status for the promise that the request was not run,
+ * so that it must not be passed on where the target does not say so. */
+bool
+PromisesNotRun(unsigned aStatus)
+{
+  return aStatus == kStatusRequestTimeout || aStatus == kStatusMisdirected ||
+         aStatus == kStatusTooMany || aStatus == kStatusUnavailable;
+}
+
 bool
 StatesNotRun(const TargetDialect& aDialect, const HttpResponse& aResponse)
 {
@@ -157,7 +166,10 @@
                   FindHeader(aResponse.mHeaders, aDialect.mSignature);
   bool isEncoded = !aDialect.mSignature.empty() &&
                    FindHeader(aResponse.mHeaders, "Content-Encoding");
-  if (IsSuccess(aResponse.mStatus) && (!isSigned || isEncoded)) {
+  bool isForeign = IsSuccess(aResponse.mStatus) && (!isSigned || isEncoded);
+  bool isFalsePromise =
+    !aDialect.mSignature.empty() && PromisesNotRun(aResponse.mStatus);
+  if (isForeign || isFalsePromise) {
     return { TargetOutcome::Broken, nullptr };
   }
   auto answer = std::make_shared<Answer>();
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kExpiryMargin = seconds(1);
 constexpr Duration kScanInterval = milliseconds(20);
 constexpr Duration kQueryGrace = milliseconds(30);
+/** A query, or the report that answers it, may be lost. */
+constexpr Duration kQueryAgainInterval = milliseconds(150);
 constexpr Duration kShortestOverdue = milliseconds(10);
 constexpr Duration kShortestSilence = milliseconds(250);
 constexpr int kSilenceFactor = 5;
@@ -517,8 +519,11 @@
     }
     Duration age = aNow - lease.mGrantedAt;
     Duration overdue = std::max(it->second.mNinetieth, kShortestOverdue);
-    if (!lease.mIsQueried && age > overdue) {
+    bool isUnanswered =
+      lease.mIsQueried && aNow - lease.mQueriedAt >= kQueryAgainInterval;
+    if (age > overdue && (!lease.mIsQueried || isUnanswered)) {
       lease.mIsQueried = true;
+      lease.mQueriedAt = aNow;
       queries[lease.mHolder].push_back(id);
     }
     // Only a holder that was asked, and did not say that it no longer has the
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -31,6 +31,7 @@
   TimePoint mExpiresAt{};
   /** Its holder was asked whether it still has it. */
   bool mIsQueried = false;
+  TimePoint mQueriedAt{};
   /** It was held against the target that it is slow. */
   bool mIsCountedSlow = false;
   /** It took so long that its target is doubted for it. */
--- a/src/WeightedSpread.cpp
+++ b/src/WeightedSpread.cpp
@@ -1,5 +1,7 @@
 #include "WeightedSpread.h"
 
+#include <algorithm>
+
 namespace vanillascale {
 
 namespace {
@@ -14,24 +16,39 @@
   return total;
 }
 
-/** A random start: the credits sum up to zero, as they do after each pick. */
-void
-Start(WeightedSpread& aSpread,
-      const std::vector<RouteShare>& aShares,
-      double aTotal,
-      Random& aRandom)
+/** Gives each service its share of one request and takes the request from the
+ * one that is owed most. */
+const ServiceName&
+TakeTurn(WeightedSpread& aSpread,
+         const std::vector<RouteShare>& aShares,
+         double aTotal)
 {
-  constexpr std::size_t kSteps = 1000000;
-  double at = static_cast<double>(RandomBelow(aRandom, kSteps)) / kSteps;
-  double before = 0;
+  const RouteShare* best = nullptr;
   for (const RouteShare& it : aShares) {
-    double share = it.mWeight / aTotal;
-    bool isHit = at >= before && at < before + share;
-    aSpread.mOwed[it.mService] = share - (isHit ? 1 : 0);
-    before += share;
+    double& owed = aSpread.mOwed[it.mService];
+    owed += it.mWeight / aTotal;
+    bool isBetter = !best || owed > aSpread.mOwed[best->mService];
+    if (it.mWeight > 0 && isBetter) {
+      best = &it;
+    }
   }
+  aSpread.mOwed[best->mService] -= 1;
+  return best->mService;
+}
+
+bool
+IsOf(const WeightedSpread& aSpread, const std::vector<RouteShare>& aShares)
+{
+  return aSpread.mOwed.size() == aShares.size() &&
+         std::all_of(
+           aShares.begin(), aShares.end(), [&](const RouteShare& aShare) {
+             return aSpread.mOwed.count(aShare.mService) > 0;
+           });
 }
 
+/** Weights in percent come round after so many turns. */
+constexpr std::size_t kRound = 100;
+
 } // namespace
 
 const ServiceName&
@@ -43,25 +60,14 @@
   if (total <= 0) {
     return aShares.front().mService;
   }
-  bool isKnown = aSpread.mOwed.size() == aShares.size();
-  for (const RouteShare& it : aShares) {
-    isKnown = isKnown && aSpread.mOwed.count(it.mService) > 0;
-  }
-  if (!isKnown) {
+  if (!IsOf(aSpread, aShares)) {
     aSpread.mOwed.clear();
-    Start(aSpread, aShares, total, aRandom);
-  }
-  const RouteShare* best = nullptr;
-  for (const RouteShare& it : aShares) {
-    double& owed = aSpread.mOwed[it.mService];
-    owed += it.mWeight / total;
-    bool isBetter = !best || owed > aSpread.mOwed[best->mService];
-    if (it.mWeight > 0 && isBetter) {
-      best = &it;
+    std::size_t start = RandomBelow(aRandom, kRound);
+    for (std::size_t i = 0; i < start; ++i) {
+      TakeTurn(aSpread, aShares, total);
     }
   }
-  aSpread.mOwed[best->mService] -= 1;
-  return best->mService;
+  return TakeTurn(aSpread, aShares, total);
 }
 
 } // namespace vanillascale
--- /dev/null
+++ b/test/correctness/FeedsAreFollowed.cpp
@@ -0,0 +1,196 @@
+#include "KeyedFeed.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillascale;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr TimePoint kStart = TimePoint(std::chrono::hours(1));
+
+FeedSettings
+Settings()
+{
+  FeedSettings settings;
+  settings.mTopic = "targets";
+  settings.mPace = milliseconds(450);
+  settings.mStaleAfter = milliseconds(1000);
+  settings.mReturnTime = milliseconds(2200);
+  return settings;
+}
+
+/** One node with its view of a zone of three. */
+struct Follower
+{
+  MembersState mMembers =
+    MembersState::Make(NodeId("10.0.0.1:1"), ZoneName("z"), 1);
+  Random mRandom;
+  KeyedFeedState mFeed = KeyedFeedState::Make(Settings(), kStart);
+
+  Effects Tick(TimePoint aNow)
+  {
+    Effects effects;
+    FeedTick(mFeed, { aNow, mMembers, mRandom, effects });
+    return effects;
+  }
+  Effects Read(TimePoint aNow, const FeedRead& aRead)
+  {
+    Effects effects;
+    FeedReceive(mFeed, { aNow, mMembers, mRandom, effects }, aRead);
+    return effects;
+  }
+  Effects Push(TimePoint aNow, const FeedPush& aPush)
+  {
+    Effects effects;
+    FeedReceive(
+      mFeed, { aNow, mMembers, mRandom, effects }, NodeId("peer"), aPush);
+    return effects;
+  }
+};
+
+FeedRead
+Whole(LogOffset aEnd, std::vector<FeedEntry> aEntries)
+{
+  FeedRead read;
+  read.mTopic = "targets";
+  read.mIsDone = true;
+  read.mIsWhole = true;
+  read.mEnd = aEnd;
+  read.mEntries = std::move(aEntries);
+  return read;
+}
+
+FeedRead
+Delta(LogOffset aEnd, std::vector<FeedEntry> aEntries)
+{
+  FeedRead read = Whole(aEnd, std::move(aEntries));
+  read.mIsWhole = false;
+  return read;
+}
+
+std::size_t
+CountReads(const Effects& aEffects)
+{
+  std::size_t n = 0;
+  for (const Effect& it : aEffects) {
+    n += std::holds_alternative<ReadFeed>(it) ? 1 : 0;
+  }
+  return n;
+}
+
+} // namespace
+
+TEST_GROUP(Feeds){};
+
+TEST(Feeds, AreReadWholeFirstThenFromTheirEnd)
+{
+  Follower node;
+  Effects effects = node.Tick(kStart);
+  LONGS_EQUAL(1, CountReads(effects));
+  CHECK(std::get<ReadFeed>(effects.front()).mIsWhole);
+  LONGS_EQUAL(0, CountReads(node.Tick(kStart + milliseconds(10))));
+  node.Read(kStart, Whole(7, { { "a", 3, "A" } }));
+  CHECK(node.mFeed.mIsLoaded);
+  LONGS_EQUAL(0, CountReads(node.Tick(kStart + milliseconds(440))));
+  effects = node.Tick(kStart + milliseconds(450));
+  LONGS_EQUAL(7, std::get<ReadFeed>(effects.front()).mFrom);
+}
+
+TEST(Feeds, NeverTakeAnOlderEntry)
+{
+  Follower node;
+  node.Read(kStart, Whole(7, { { "a", 6, "new" } }));
+  node.Read(kStart, Whole(7, { { "a", 3, "old" } }));
+  STRCMP_EQUAL("new", node.mFeed.mEntries["a"].mValue.c_str());
+  FeedPush push{ "targets", 0, 5, true, Duration(0), { { "a", 2, "older" } } };
+  node.Push(kStart, push);
+  STRCMP_EQUAL("new", node.mFeed.mEntries["a"].mValue.c_str());
+}
+
+TEST(Feeds, LoseRemovedEntriesAtOnceOnACalmDay)
+{
+  Follower node;
+  node.Read(kStart, Whole(2, { { "a", 0, "A" }, { "b", 1, "B" } }));
+  node.Read(kStart + milliseconds(450), Delta(3, { { "a", 2, "" } }));
+  LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
+  node.Read(kStart + milliseconds(900), Whole(4, {}));
+  LONGS_EQUAL(0, node.mFeed.mEntries.size());
+}
+
+TEST(Feeds, KeepEntriesThatLapsedInAnOutageUntilTheyCanBeBack)
+{
+  Follower node;
+  node.Read(kStart, Whole(2, { { "a", 0, "A" }, { "b", 1, "B" } }));
+  TimePoint back = kStart + seconds(9);
+  node.Read(back, Delta(4, { { "a", 2, "" }, { "b", 3, "" } }));
+  LONGS_EQUAL(2, node.mFeed.mEntries.size());
+  node.Read(back + milliseconds(900), Delta(5, { { "b", 4, "B" } }));
+  node.Tick(back + milliseconds(2300));
+  LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
+  LONGS_EQUAL(1, node.mFeed.mEntries.count("b"));
+}
+
+TEST(Feeds, ThatWereTrimmedAreReadWhole)
+{
+  Follower node;
+  node.Read(kStart, Whole(2, { { "a", 0, "A" } }));
+  FeedRead trimmed = Delta(0, {});
+  trimmed.mIsTrimmed = true;
+  node.Read(kStart + milliseconds(500), trimmed);
+  Effects effects = node.Tick(kStart + milliseconds(510));
+  CHECK(std::get<ReadFeed>(effects.front()).mIsWhole);
+}
+
+TEST(Feeds, AreReadByTheNextInLineWhenTheirReaderFallsSilent)
+{
+  Follower node;
+  MemberUpdate peer{
+    NodeId("10.0.0.2:1"), ZoneName("z"), 1, MemberStatus::Alive
+  };
+  MemberUpdate other = peer;
+  other.mNode = NodeId("10.0.0.3:1");
+  Effects ignored;
+  MembersReceive(
+    node.mMembers, kStart, peer.mNode, Ping{ 1, 0, { peer, other } }, ignored);
+  node.Read(kStart, Whole(2, { { "a", 0, "A" } }));
+  // Whatever this node's rank is: someone's silence makes it read in time for
+  // an entry to be known two seconds after it was written.
+  TimePoint readAt = TimePoint::max();
+  for (Duration t{ 0 }; t < seconds(2) && readAt == TimePoint::max();
+       t += milliseconds(10)) {
+    if (CountReads(node.Tick(kStart + t)) > 0) {
+      readAt = kStart + t;
+    }
+  }
+  CHECK(readAt - kStart < milliseconds(1500));
+}
+
+TEST(Feeds, AskForTheWholeWhenAPushLeavesAGap)
+{
+  Follower node;
+  node.Read(kStart, Whole(2, { { "a", 0, "A" } }));
+  FeedPush push{ "targets", 5, 6, false, Duration(0), { { "b", 5, "B" } } };
+  Effects effects = node.Push(kStart, push);
+  const auto& send = std::get<SendPeer>(effects.front());
+  CHECK(std::holds_alternative<FeedPull>(send.mMessage));
+  LONGS_EQUAL(0, node.mFeed.mEntries.count("b"));
+}
+
+TEST(Feeds, ReadLessAndLessOftenWhileTheStoreIsAway)
+{
+  Follower node;
+  std::size_t reads = 0;
+  FeedRead failed;
+  failed.mTopic = "targets";
+  for (TimePoint now = kStart; now < kStart + seconds(10);
+       now += milliseconds(10)) {
+    if (CountReads(node.Tick(now)) > 0) {
+      ++reads;
+      node.Read(now, failed);
+    }
+  }
+  CHECK(reads >= 5);
+  CHECK(reads <= 25);
+}
--- /dev/null
+++ b/test/correctness/GrayTargetsAreAvoided.cpp
@@ -0,0 +1,183 @@
+#include "Random.h"
+#include "TargetPool.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillascale;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t kTargets = 20;
+constexpr TimePoint kStart = TimePoint(std::chrono::hours(1));
+
+/** The load of the users' calm day: 70 requests a second before 20 targets, of
+ * which each turns gray for some seconds now and then and then fails 85% at
+ * once. */
+class GrayDay
+{
+public:
+  explicit GrayDay(std::uint64_t aSeed)
+  {
+    mRandom.seed(aSeed);
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      Vm vm;
+      vm.mGroup = "ledger";
+      vm.mAddress = "t" + std::to_string(i);
+      vm.mZone = ZoneName("z");
+      vm.mSlots = 3;
+      mVms.push_back(vm);
+    }
+    UpdatePool(mPool, kStart, "ledger", mVms);
+    mGrayUntil.resize(kTargets, kStart);
+    mNextGrayAt.resize(kTargets);
+    for (auto& it : mNextGrayAt) {
+      it = kStart + Draw(seconds(9));
+    }
+  }
+
+  /** Plays 60 s; returns the share of unsafe requests that failed. */
+  double Play(bool aIsTrustKept)
+  {
+    std::size_t unsafe = 0;
+    std::size_t failed = 0;
+    constexpr Duration kPace = std::chrono::microseconds(14300);
+    std::size_t n = 0;
+    for (TimePoint now = kStart; now < kStart + seconds(60); now += kPace) {
+      TurnGray(now);
+      bool isUnsafe = n++ % 3 != 0;
+      SlotDemand demand;
+      demand.mNode = NodeId("n");
+      demand.mZone = ZoneName("z");
+      demand.mMaySuffer = !isUnsafe;
+      demand.mNeedsTrust = isUnsafe && HasTrusted(mPool, now);
+      auto target = PickTarget(mPool, now, demand);
+      CHECK(target.has_value());
+      PooledTarget& picked = mPool.mTargets[*target];
+      picked.mUsedAt = now;
+      auto i = static_cast<std::size_t>(std::stoi(target->mValue.substr(1)));
+      bool isFailure = now < mGrayUntil[i] && RandomBelow(mRandom, 100) < 85;
+      if (aIsTrustKept && isFailure) {
+        NoteFailure(picked.mTrust, now, kFailureDoubt);
+      } else if (aIsTrustKept) {
+        NoteProof(picked.mTrust, now, now);
+      }
+      unsafe += isUnsafe ? 1 : 0;
+      failed += isUnsafe && isFailure ? 1 : 0;
+    }
+    return static_cast<double>(failed) / static_cast<double>(unsafe);
+  }
+
+private:
+  Duration Draw(Duration aMean)
+  {
+    auto most = static_cast<std::size_t>(2 * aMean.count());
+    return Duration(static_cast<Duration::rep>(RandomBelow(mRandom, most)));
+  }
+
+  void TurnGray(TimePoint aNow)
+  {
+    for (std::size_t i = 0; i < kTargets; ++i) {
+      if (aNow >= mNextGrayAt[i]) {
+        mGrayUntil[i] = aNow + Draw(seconds(3));
+        mNextGrayAt[i] = mGrayUntil[i] + Draw(seconds(9));
+      }
+    }
+  }
+
+  Random mRandom;
+  TargetPool mPool;
+  std::vector<Vm> mVms;
+  std::vector<TimePoint> mGrayUntil;
+  std::vector<TimePoint> mNextGrayAt;
+};
+
+} // namespace
+
+TEST_GROUP(GrayTargets){};
+
+TEST(GrayTargets, FailAtMostATwentiethOfWorkThatMayNotBeRepeated)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    double with = GrayDay(seed).Play(true);
+    double without = GrayDay(seed).Play(false);
+    CHECK(with <= 0.05);
+    CHECK(without >= 0.12);
+  }
+}
+
+TEST(GrayTargets, AreLastChoiceAfterOneFailure)
+{
+  TargetTrust trust;
+  CHECK(!IsDoubted(trust, kStart));
+  NoteFailure(trust, kStart, kFailureDoubt);
+  CHECK(IsDoubted(trust, kStart + milliseconds(1500)));
+  CHECK(!IsDoubted(trust, kStart + milliseconds(2000)));
+}
+
+TEST(GrayTargets, AreNotClearedByWhatWasSentBeforeTheyFailed)
+{
+  TargetTrust trust;
+  NoteFailure(trust, kStart, kFailureDoubt);
+  NoteProof(trust, kStart + milliseconds(10), kStart - milliseconds(100));
+  CHECK(IsDoubted(trust, kStart + milliseconds(10)));
+  NoteProof(trust, kStart + milliseconds(20), kStart + milliseconds(5));
+  CHECK(!IsDoubted(trust, kStart + milliseconds(20)));
+}
+
+TEST(GrayTargets, NeedMoreThanOneProofAfterManyFailures)
+{
+  TargetTrust trust;
+  for (int i = 0; i < 4; ++i) {
+    NoteFailure(trust, kStart + milliseconds(i), kFailureDoubt);
+  }
+  TimePoint now = kStart + milliseconds(500);
+  NoteProof(trust, now, now);
+  CHECK(IsDoubted(trust, now));
+}
+
+TEST(GrayTargets, AreTriedLessOftenTheMoreTheyFail)
+{
+  TargetTrust once;
+  TargetTrust often;
+  NoteFailure(once, kStart, kFailureDoubt);
+  for (int i = 0; i < 4; ++i) {
+    NoteFailure(often, kStart, kFailureDoubt);
+  }
+  TimePoint now = kStart + kLongestTrialPause;
+  CHECK(IsTrialDue(once, now, kLongestTrialPause));
+  CHECK(!IsTrialDue(often, now, kLongestTrialPause));
+  CHECK(IsPausing(often, now, kLongestTrialPause));
+}
+
+TEST(GrayTargets, LongWorkAloneIsNoFailure)
+{
+  TargetTrust trust;
+  for (int i = 0; i < 10; ++i) {
+    NoteSlow(trust, kStart);
+  }
+  CHECK(!IsPausing(trust, kStart, kLongestTrialPause));
+}
+
+TEST(GrayTargets, ThatOneNodeCannotReachServeTheOthers)
+{
+  TargetPool pool;
+  std::vector<Vm> vms(2);
+  for (std::size_t i = 0; i < vms.size(); ++i) {
+    vms[i].mGroup = "ledger";
+    vms[i].mAddress = "t" + std::to_string(i);
+    vms[i].mZone = ZoneName("z");
+    vms[i].mSlots = 3;
+  }
+  UpdatePool(pool, kStart, "ledger", vms);
+  NoteUnreached(pool, kStart, TargetId("t0"), NodeId("cut"));
+  SlotDemand demand;
+  demand.mZone = ZoneName("z");
+  demand.mNode = NodeId("cut");
+  STRCMP_EQUAL("t1", PickTarget(pool, kStart, demand)->mValue.c_str());
+  CHECK(!IsDoubted(pool.mTargets[TargetId("t0")].mTrust, kStart));
+  TimePoint later = kStart + milliseconds(50);
+  NoteUnreached(pool, later, TargetId("t0"), NodeId("other"));
+  CHECK(IsDoubted(pool.mTargets[TargetId("t0")].mTrust, later));
+}
--- /dev/null
+++ b/test/correctness/SharesAreKept.cpp
@@ -0,0 +1,54 @@
+#include "WeightedSpread.h"
+
+#include <CppUTest/TestHarness.h>
+#include <map>
+
+using namespace vanillascale;
+
+TEST_GROUP(Shares){};
+
+/** 48 proxies see four requests of a route each, as on the users' days. */
+TEST(Shares, AreNearTheirWeightsThoughEachProxySeesFew)
+{
+  std::vector<RouteShare> shares{ { ServiceName("a"), 90 },
+                                  { ServiceName("b"), 10 } };
+  for (std::uint32_t seed = 1; seed <= 20; ++seed) {
+    Random random;
+    random.seed(seed);
+    std::map<ServiceName, int> counts;
+    for (int node = 0; node < 48; ++node) {
+      WeightedSpread spread;
+      for (int i = 0; i < 4; ++i) {
+        ++counts[PickShare(spread, shares, random)];
+      }
+    }
+    double share = counts[ServiceName("b")] / (48.0 * 4);
+    CHECK(share > 0.03 && share < 0.17);
+  }
+}
+
+TEST(Shares, OfOneProxyFollowTheWeightsExactlyInTheLongRun)
+{
+  std::vector<RouteShare> shares{ { ServiceName("a"), 3 },
+                                  { ServiceName("b"), 1 },
+                                  { ServiceName("off"), 0 } };
+  Random random;
+  random.seed(1);
+  WeightedSpread spread;
+  std::map<ServiceName, int> counts;
+  for (int i = 0; i < 400; ++i) {
+    ++counts[PickShare(spread, shares, random)];
+  }
+  CHECK(counts[ServiceName("a")] >= 299 && counts[ServiceName("a")] <= 301);
+  LONGS_EQUAL(0, counts[ServiceName("off")]);
+}
+
+TEST(Shares, FollowNewWeightsAtOnce)
+{
+  Random random;
+  random.seed(1);
+  WeightedSpread spread;
+  PickShare(spread, { { ServiceName("a"), 1 } }, random);
+  const std::vector<RouteShare> next{ { ServiceName("b"), 1 } };
+  STRCMP_EQUAL("b", PickShare(spread, next, random).mValue.c_str());
+}
--- /dev/null
+++ b/test/correctness/StoreIsTranslated.cpp
@@ -0,0 +1,164 @@
+#include "ConfigFold.h"
+#include "StoreFormat.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillascale;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char* kConfig =
+  R"({"version":"0000000c","resources":[
+  {"type":"routes","metadata":{"name":"r-1"},"spec":{"host":"ficu.example",
+   "path_prefix":"/pufi/","kind":"unsafe","timeout_s":1.2,
+   "latency_goal_s":0.8,"priority":1,"service":"a","attempts":2}},
+  {"type":"routes","metadata":{"name":"r-2"},"spec":{"host":"ficu.example",
+   "path_prefix":"/lohu/","kind":"safe","timeout_s":1.5,"priority":0,
+   "backends":[{"service":"a","weight":90},{"service":"b","weight":10}]}},
+  {"type":"services","metadata":{"name":"a"},"spec":{"max_conns":390}},
+  {"type":"services","metadata":{"name":"b"},"spec":{}},
+  {"type":"limits","metadata":{},"spec":{"max_header_bytes":16384,
+   "max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}]})";
+
+constexpr const char* kWorker =
+  R"({"service":"a","address":"10.128.0.9:8080","zone":"z","version":"v1",
+  "capacity":3,"state":"ready","warmup_left_s":0.5,"sequence":4})";
+
+std::string
+Replace(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  return aText.replace(aText.find(aOld), aOld.size(), aNew);
+}
+
+std::string
+Record(const std::string& aKey, const std::string& aValue)
+{
+  std::string content(1, static_cast<char>(aKey.size()));
+  content += aKey + aValue;
+  std::string bytes(3, '\0');
+  bytes += static_cast<char>(content.size());
+  return bytes + content;
+}
+
+} // namespace
+
+TEST_GROUP(Store){};
+
+TEST(Store, ConfigurationsBecomeDocuments)
+{
+  auto document = TranslateConfig(kConfig, "production");
+  CHECK(document.has_value());
+  LONGS_EQUAL(12, document->mRevision);
+  const Route& unsafe = document->mRoutes.at(RouteName("r-1"));
+  CHECK(!unsafe.mIdempotent);
+  CHECK(unsafe.mOncePolicy == OncePolicy::PerRequest);
+  CHECK(unsafe.mDeadline == milliseconds(1200));
+  CHECK(unsafe.mGoal == milliseconds(800));
+  LONGS_EQUAL(2, unsafe.mPriority);
+  LONGS_EQUAL(2, unsafe.mAttempts);
+  const Route& safe = document->mRoutes.at(RouteName("r-2"));
+  CHECK(safe.mIdempotent);
+  LONGS_EQUAL(10, safe.mShares.at(1).mWeight);
+  CHECK(document->mLimits->mIdleTime == std::chrono::seconds(15));
+}
+
+TEST(Store, DocumentsReadBackAsTheyWereWritten)
+{
+  auto document = TranslateConfig(kConfig, "production");
+  std::string text = FormatDocument(*document);
+  auto again = ParseDocument(text);
+  CHECK(again.has_value());
+  STRCMP_EQUAL(text.c_str(), FormatDocument(*again).c_str());
+}
+
+TEST(Store, RoutesAreFoundByHostAndPrefix)
+{
+  ConfigState state;
+  CHECK(ReplaceDocument(state, *TranslateConfig(kConfig, "production"), 0));
+  const Route* route = FindRoute(state, "PUT", "/pufi/2f?x=/a", "FICU.example");
+  CHECK(route != nullptr);
+  STRCMP_EQUAL("r-1", route->mName.mValue.c_str());
+  CHECK(!FindRoute(state, "PUT", "/pufi", "ficu.example"));
+  CHECK(!FindRoute(state, "PUT", "/pufi/2f", "other.example"));
+}
+
+TEST(Store, OnlyNewerConfigurationsTakeHold)
+{
+  ConfigState state;
+  auto document = TranslateConfig(kConfig, "production");
+  CHECK(ReplaceDocument(state, *document, 5));
+  document->mRevision = 11;
+  CHECK(!ReplaceDocument(state, *document, 6));
+  document->mRevision = 13;
+  CHECK(!ReplaceDocument(state, *document, 4));
+  CHECK(ReplaceDocument(state, *document, 7));
+}
+
+TEST(Store, DamagedConfigurationsAreNone)
+{
+  std::string text = kConfig;
+  for (const auto& it :
+       { Replace(text, "\"version\":\"0000000c\",", ""),
+         Replace(text, "0000000c", "twelve"),
+         Replace(text, "\"timeout_s\":1.2", "\"timeout_s\":\"soon\""),
+         Replace(text, "\"timeout_s\":1.2", "\"timeout_s\":-1"),
+         Replace(text, "\"path_prefix\":\"/pufi/\",", ""),
+         text.substr(0, text.size() / 2),
+         std::string("\xff\xfe"),
+         std::string() }) {
+    CHECK_TEXT(!TranslateConfig(it, "production"), it.c_str());
+  }
+}
+
+TEST(Store, WorkersBecomeVms)
+{
+  auto vm = TranslateWorker("i-7f", kWorker);
+  CHECK(vm.has_value());
+  STRCMP_EQUAL("i-7f@10.128.0.9:8080", vm->mAddress.c_str());
+  LONGS_EQUAL(3, vm->mSlots);
+  CHECK(!vm->mIsLeaving);
+  CHECK(vm->mColdLeft == milliseconds(500));
+  auto leaving = TranslateWorker("i-7f", Replace(kWorker, "ready", "draining"));
+  CHECK(leaving->mIsLeaving);
+}
+
+TEST(Store, EntriesOfOtherWritersNameNoWorker)
+{
+  std::string text = kWorker;
+  for (const auto& it : { Replace(text, "\"ready\"", "\"odd\""),
+                          Replace(text, "\"ready\"", "7"),
+                          Replace(text, "\"capacity\":3", "\"capacity\":\"3\""),
+                          Replace(text, "\"capacity\":3", "\"capacity\":0"),
+                          Replace(text, "\"address\":\"10.128.0.9:8080\",", ""),
+                          Replace(text, "10.128.0.9:8080", "nowhere"),
+                          std::string("\x01\x02") }) {
+    CHECK_TEXT(!TranslateWorker("i-7f", it), it.c_str());
+  }
+}
+
+TEST(Store, RecordsAreReadWithTheirOffsets)
+{
+  std::string body(16, '\0');
+  body += Record("a", "A") + Record("b", "") + Record("c", "C");
+  auto records = ParseRecords(body, 40);
+  CHECK(records.has_value());
+  LONGS_EQUAL(43, records->mNext);
+  LONGS_EQUAL(3, records->mRecords.size());
+  LONGS_EQUAL(41, records->mRecords[1].mOffset);
+  CHECK(records->mRecords[1].mValue.empty());
+  CHECK(!ParseRecords(body.substr(0, body.size() - 1), 40));
+  CHECK(!ParseRecords("short", 40));
+}
+
+TEST(Store, PagesCarryValuesInBase64)
+{
+  auto page = ParsePage(
+    R"({"items":[{"key":"config","value":"aGVsbG8=","offset":4}],
+        "more":false,"end":6})");
+  CHECK(page.has_value());
+  STRCMP_EQUAL("hello", page->mRecords.at(0).mValue.c_str());
+  LONGS_EQUAL(6, page->mEnd);
+  CHECK(!ParsePage("{}"));
+  CHECK(!ParsePage("junk"));
+}
