--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -258,28 +258,36 @@
   return demand;
 }
 
-bool
-GrantOne(SchedulerState& aState,
-         TimePoint aNow,
-         const Service& aSettings,
-         bool aIsLong,
-         Effects& aEffects)
+/** What came of trying to place the waiting requests of one priority. */
+enum class Placement
+{
+  Granted,
+  /** No target has room for it. */
+  NoRoom,
+  /** There is room, but only at targets that it must not be risked at. */
+  NoTrusted
+};
+
+/** Lends a slot to one of the first waiting requests of a priority. */
+Placement
+GrantFrom(SchedulerState& aState,
+          TimePoint aNow,
+          const Service& aSettings,
+          bool aIsLong,
+          std::uint8_t aPriority,
+          Effects& aEffects)
 {
-  std::uint8_t priority =
-    NextPriority(aState.mQueue, aIsLong, ExpectedTime(aState));
-  if (priority == 0) {
-    return false;
-  }
   // A queue longer than the targets are many shows an overload: then a target
   // may have one more request at hand for the moment a slot falls free.
   std::size_t waiting = CountUpTo(aState.mQueue, false, kPriorityLevels - 1);
   bool isOverload = !aIsLong && waiting > aState.mPool.mTargets.size();
   bool hasTrusted = HasTrusted(aState.mPool, aNow);
   bool areManyUnserved = AreManyUnserved(aState);
-  auto it = FirstOf(aState.mQueue, aIsLong, priority);
+  Placement placement = Placement::NoRoom;
+  auto it = FirstOf(aState.mQueue, aIsLong, aPriority);
   for (std::size_t n = 0; n < kLookahead && it != aState.mQueue.mEntries.end();
        ++n, ++it) {
-    if (it->first.mPriority != priority || it->first.mIsLong != aIsLong) {
+    if (it->first.mPriority != aPriority || it->first.mIsLong != aIsLong) {
       break;
     }
     SlotDemand demand = DemandOf(it->second, aNow);
@@ -294,8 +302,34 @@
     if (target) {
       QueueKey key = it->first;
       Grant(aState, aNow, aSettings, key, *target, aEffects);
+      return Placement::Granted;
+    }
+    placement = demand.mNeedsTrust ? Placement::NoTrusted : placement;
+  }
+  return placement;
+}
+
+/** Lends one slot. Where urgent work waits for a trusted target, less urgent
+ * work that may be repeated takes the slots of the others meanwhile. */
+bool
+GrantOne(SchedulerState& aState,
+         TimePoint aNow,
+         const Service& aSettings,
+         bool aIsLong,
+         Effects& aEffects)
+{
+  std::uint8_t first =
+    NextPriority(aState.mQueue, aIsLong, ExpectedTime(aState));
+  for (std::uint8_t it = first; it > 0 && it < kPriorityLevels; ++it) {
+    Placement placement =
+      GrantFrom(aState, aNow, aSettings, aIsLong, it, aEffects);
+    if (placement == Placement::Granted) {
       return true;
     }
+    bool isEmpty = aState.mQueue.mCounts[aIsLong ? 1 : 0][it] == 0;
+    if (placement == Placement::NoRoom && !isEmpty) {
+      return false;
+    }
   }
   return false;
 }
--- a/test/correctness/GrayTargetsAreAvoided.cpp
+++ b/test/correctness/GrayTargetsAreAvoided.cpp
@@ -1,4 +1,5 @@
 #include "Random.h"
+#include "Scheduler.h"
 #include "TargetPool.h"
 
 #include <CppUTest/TestHarness.h>
@@ -181,3 +182,52 @@
   NoteUnreached(pool, later, TargetId("t0"), NodeId("other"));
   CHECK(IsDoubted(pool.mTargets[TargetId("t0")].mTrust, later));
 }
+
+/** A crest on which a third of the targets is gray: work that may not be
+ * repeated waits for the sound ones, and reads must not wait behind it while
+ * the others have room. */
+TEST(GrayTargets, ServeReadsWhileUrgentWorkWaitsForTrustedOnes)
+{
+  Service settings;
+  settings.mName = ServiceName("ledger");
+  settings.mVmGroup = "ledger";
+  auto scheduler =
+    SchedulerState::Make(settings.mName, NodeId("s"), 1, kStart - seconds(1));
+  std::vector<Vm> vms(2);
+  for (std::size_t i = 0; i < vms.size(); ++i) {
+    vms[i].mGroup = "ledger";
+    vms[i].mAddress = "t" + std::to_string(i);
+    vms[i].mSlots = 1;
+  }
+  UpdatePool(scheduler.mPool, kStart, "ledger", vms);
+  NoteFailure(
+    scheduler.mPool.mTargets[TargetId("t0")].mTrust, kStart, kFailureDoubt);
+  Effects effects;
+  auto ask = [&](RequestId aId, bool aIsIdempotent, std::uint8_t aPriority) {
+    LeaseRequest request;
+    request.mService = settings.mName;
+    request.mRequest = aId;
+    request.mIsIdempotent = aIsIdempotent;
+    request.mPriority = aPriority;
+    request.mDeadline = seconds(2);
+    request.mGoal = seconds(1);
+    effects.clear();
+    SchedulerReceive(scheduler,
+                     kStart,
+                     settings,
+                     NodeId("n"),
+                     ZoneName("z"),
+                     request,
+                     effects);
+  };
+  ask(1, false, 1);
+  const auto& grant = std::get<SendPeer>(effects.at(0)).mMessage;
+  STRCMP_EQUAL("t1", std::get<LeaseGrant>(grant).mTarget.mValue.c_str());
+  ask(2, false, 1);
+  LONGS_EQUAL(0, effects.size());
+  ask(3, true, 3);
+  LONGS_EQUAL(1, effects.size());
+  const auto& read = std::get<SendPeer>(effects.at(0)).mMessage;
+  LONGS_EQUAL(3, std::get<LeaseGrant>(read).mRequest);
+  STRCMP_EQUAL("t0", std::get<LeaseGrant>(read).mTarget.mValue.c_str());
+}
