Satisfy the linter on the new shell

Cause: clang-tidy over the new files named six places, one a value used after it was moved in a loop (harmless: ids are unique), and an option that only GCC knows. Behaviour as before.

--- a/src/CallerServer.cpp
+++ b/src/CallerServer.cpp
@@ -125,7 +125,7 @@
                    mAdapter.mTargets,
                    *it->second.mMessage,
                    { aEffect.mTarget, mHooks.mNameRequest(id), left });
-  mTargets->Send(std::move(send), [this, id](const TargetResult& aResult) {
+  mTargets->Send(send, [this, id](const TargetResult& aResult) {
     mHooks.mPost(TargetEnded{ id, aResult.mOutcome, aResult.mAnswer });
   });
 }
--- a/src/EventLog.cpp
+++ b/src/EventLog.cpp
@@ -29,7 +29,7 @@
 
 } // namespace
 
-EventLog::EventLog(EventLogIdentity aIdentity, int aDescriptor)
+EventLog::EventLog(const EventLogIdentity& aIdentity, int aDescriptor)
   : mSuffix(" node=" + aIdentity.mNode + " zone=" + aIdentity.mZone +
             " incarnation=" + std::to_string(aIdentity.mIncarnation))
   , mDescriptor(aDescriptor)
@@ -37,9 +37,9 @@
 }
 
 EventLog
-EventLog::Make(EventLogIdentity aIdentity, int aDescriptor)
+EventLog::Make(const EventLogIdentity& aIdentity, int aDescriptor)
 {
-  return EventLog(std::move(aIdentity), aDescriptor);
+  return EventLog(aIdentity, aDescriptor);
 }
 
 bool
--- a/src/EventLog.h
+++ b/src/EventLog.h
@@ -28,7 +28,7 @@
 {
 public:
   /** aDescriptor must stay open. */
-  static EventLog Make(EventLogIdentity aIdentity, int aDescriptor);
+  static EventLog Make(const EventLogIdentity& aIdentity, int aDescriptor);
 
   /** Adds a line, unless the event's rate or the buffer is used up. */
   void Write(TimePoint aNow, const WriteEvent& aEvent);
@@ -47,7 +47,7 @@
     TimePoint mFilledAt{};
   };
 
-  EventLog(EventLogIdentity aIdentity, int aDescriptor);
+  EventLog(const EventLogIdentity& aIdentity, int aDescriptor);
   bool TakeToken(TimePoint aNow, int aNumber);
   void Append(TimePoint aNow, int aNumber, const std::string& aText);
 
--- a/src/HttpServer.cpp
+++ b/src/HttpServer.cpp
@@ -80,6 +80,7 @@
       if (it.mId == aRequest) {
         it.mIsAnswered = true;
         it.mResponse = std::move(aResponse);
+        break;
       }
     }
     mState->mRequests.erase(aRequest);
--- a/src/PeerLinks.cpp
+++ b/src/PeerLinks.cpp
@@ -214,7 +214,7 @@
     aTransfer->mSocket.close(ec);
   }
 
-  void SendLarge(const Endpoint& aTo, std::string aBytes)
+  void SendLarge(const Endpoint& aTo, const std::string& aBytes)
   {
     if (mOutgoing >= kMostTransfers) {
       ++mCounters.mDropped;
@@ -275,7 +275,7 @@
     ++mCounters.mSentMessages;
     mCounters.mSentBytes += bytes.size();
     if (bytes.size() > kLargestDatagram) {
-      SendLarge(*endpoint, std::move(bytes));
+      SendLarge(*endpoint, bytes);
       return;
     }
     error_code ec;
--- a/src/RouteTable.cpp
+++ b/src/RouteTable.cpp
@@ -12,9 +12,10 @@
 PlainHost(std::string_view aHost)
 {
   std::string host(aHost.substr(0, aHost.find(':')));
-  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char c) {
-    return static_cast<char>(std::tolower(c));
-  });
+  std::transform(
+    host.begin(), host.end(), host.begin(), [](unsigned char aChar) {
+      return static_cast<char>(std::tolower(aChar));
+    });
   return host;
 }
 
--- a/src/TargetClient.cpp
+++ b/src/TargetClient.cpp
@@ -79,7 +79,7 @@
 }
 
 void
-TargetClient::Send(TargetSend aSend, Callback aCallback)
+TargetClient::Send(const TargetSend& aSend, Callback aCallback)
 {
   auto endpoint = ParseEndpoint(AddressOf(aSend.mTarget));
   ExchangeRequest request;
--- a/src/TargetClient.h
+++ b/src/TargetClient.h
@@ -36,7 +36,7 @@
                                             const TargetDialect& aDialect);
 
   /** Sends a request, once. aCallback is called once, never from within. */
-  void Send(TargetSend aSend, Callback aCallback);
+  void Send(const TargetSend& aSend, Callback aCallback);
 
   /** Ends a request's exchange, if it has one: the callback gets Cancelled. */
   void Cancel(RequestId aRequest);
