Write why a scheduler refused a slot; drop two events that nothing writes

Cause: the catalogue named RequestSent, SlotGranted and SlotRefused, and no line of them was ever written. Change: SlotRefused is written, with the request's id, reason, queue, open slots, leases and retry budget at the moment of the decision; the other two are gone until they are. Measured: EventsAreListed, LeasesAreLent, SchedulersMayFail and GrayTargetsAreAvoided pass; decisions are unchanged.

--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -22,16 +22,12 @@
       return "LinesDropped";
     case kEventRequestRefused:
       return "RequestRefused";
-    case kEventRequestSent:
-      return "RequestSent";
     case kEventRequestEnded:
       return "RequestEnded";
     case kEventRequestRetried:
       return "RequestRetried";
     case kEventCallerGone:
       return "CallerGone";
-    case kEventSlotGranted:
-      return "SlotGranted";
     case kEventSlotRefused:
       return "SlotRefused";
     case kEventRequestDelayed:
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -14,11 +14,9 @@
 constexpr int kEventLinesDropped = 108;
 
 constexpr int kEventRequestRefused = 200;
-constexpr int kEventRequestSent = 201;
 constexpr int kEventRequestEnded = 202;
 constexpr int kEventRequestRetried = 203;
 constexpr int kEventCallerGone = 204;
-constexpr int kEventSlotGranted = 205;
 constexpr int kEventSlotRefused = 206;
 constexpr int kEventRequestDelayed = 207;
 
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -80,15 +80,45 @@
     std::min(aState.mArrivalGap * kRequestsPerTrial, kLongestTrialPause);
 }
 
+const char*
+ReasonName(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::Overload:
+      return "overload";
+    case RefusalReason::DeadlineTooShort:
+      return "deadline-too-short";
+    case RefusalReason::AccountLimit:
+      return "account-limit";
+    case RefusalReason::HarmfulRequest:
+      return "harmful-request";
+    case RefusalReason::RetryBudget:
+      return "retry-budget";
+    case RefusalReason::NoTarget:
+      return "no-target";
+  }
+  return "unknown";
+}
+
 void
 Refuse(SchedulerState& aState,
+       TimePoint aNow,
        const NodeId& aProxy,
-       RequestId aRequest,
+       const LeaseRequest& aRequest,
        RefusalReason aReason,
        Effects& aEffects)
 {
   ++aState.mCounters.mRefusals[static_cast<std::size_t>(aReason)];
-  aEffects.push_back(SendPeer{ aProxy, LeaseRefusal{ aRequest, aReason } });
+  aEffects.push_back(WriteEvent{
+    kEventSlotRefused,
+    "request=" + aRequest.mName + " service=" + aState.mService.mValue +
+      " reason=" + ReasonName(aReason) + " asked_by=" + aProxy.mValue +
+      " queued=" + std::to_string(aState.mQueue.mEntries.size()) +
+      " open_slots=" + std::to_string(OpenSlots(aState.mPool, aNow)) +
+      " leases=" + std::to_string(aState.mLeases.size()) +
+      " retry_tokens=" + std::to_string(aState.mRetryTokens) });
+  aEffects.push_back(
+    SendPeer{ aProxy, LeaseRefusal{ aRequest.mRequest, aReason } });
 }
 
 std::size_t
@@ -518,8 +548,9 @@
   for (const QueueKey& it : Impatient(aState.mQueue, aNow)) {
     WaitingLease waiting = Dequeue(aState.mQueue, it);
     Refuse(aState,
+           aNow,
            waiting.mProxy,
-           waiting.mRequest.mRequest,
+           waiting.mRequest,
            hasTargets ? RefusalReason::Overload : RefusalReason::NoTarget,
            aEffects);
   }
@@ -688,7 +719,7 @@
   NoteArrival(aState, aNow);
   auto refusal = FindRefusal(aState, aNow, aSettings, aRequest);
   if (refusal) {
-    Refuse(aState, aFrom, aRequest.mRequest, *refusal, aEffects);
+    Refuse(aState, aNow, aFrom, aRequest, *refusal, aEffects);
     return;
   }
   WaitingLease waiting;
