Leave no target without a request while many requests are not served

The sequential test ejected targets on the evidence of a gray spell of a second, a trial that met the next spell raised the pause to 20 s, and the targets were sound again after two. At the same time another fault made a seventh of the requests fail. Ruled out: shorter pauses for all targets. Change: while more than 7% of a service's recent requests are not served (refusals count now as well), an ejected target is on trial after 1.3 s without a request, and doubted ones and those on trial get one request that may be repeated.

--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -109,6 +109,10 @@
        Effects& aEffects)
 {
   ++aState.mCounters.mRefusals[static_cast<std::size_t>(aReason)];
+  if (aReason == RefusalReason::Overload ||
+      aReason == RefusalReason::NoTarget) {
+    CountLately(aState, aNow, false);
+  }
   aEffects.push_back(WriteEvent{
     kEventSlotRefused,
     "request=" + aRequest.mName + " service=" + aState.mService.mValue +
@@ -312,7 +316,6 @@
   std::size_t waiting = CountUpTo(aState.mQueue, false, kPriorityLevels - 1);
   bool isOverload = !aIsLong && waiting > aState.mPool.mTargets.size();
   bool hasTrusted = HasTrusted(aState.mPool, aNow);
-  bool areManyUnserved = AreManyUnserved(aState);
   Placement placement = Placement::NoRoom;
   auto it = FirstOf(aState.mQueue, aIsLong, aPriority);
   for (std::size_t n = 0; n < kLookahead && it != aState.mQueue.mEntries.end();
@@ -322,7 +325,6 @@
     }
     SlotDemand demand = DemandOf(it->second, aNow);
     demand.mNeedsTrust = demand.mNeedsTrust && hasTrusted;
-    demand.mMaySpread = areManyUnserved;
     auto target = PickTarget(aState.mPool, aNow, demand);
     if (!target && isOverload) {
       demand.mMayQueueAhead = true;
@@ -812,6 +814,7 @@
   aState.mShortDemand += kDemandStep * (needed - aState.mShortDemand);
   RefuseImpatient(aState, aNow, aEffects);
   aState.mPool.mActiveZones = ActiveZones(aState, aNow);
+  aState.mPool.mAreManyUnserved = AreManyUnserved(aState);
   ReportChanges(aState, PoolTick(aState.mPool, aNow), aEffects);
   if (aNow >= aState.mNextScanAt) {
     aState.mNextScanAt = aNow + kScanInterval;
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -296,19 +296,24 @@
 }
 
 /** Whether nobody knows any more how a target does: it gets a request that may
- * be repeated, also from another zone. */
+ * be repeated, also from another zone. While many requests are not served,
+ * doubted targets and those on trial get one too, and trusted ones also work
+ * that may not be repeated. */
 bool
-IsNeglected(const PooledTarget& aTarget,
+IsNeglected(const TargetPool& aPool,
+            const PooledTarget& aTarget,
             TimePoint aNow,
             const SlotDemand& aDemand)
 {
-  bool isOpen = aTarget.mState == TargetState::Serving &&
-                !IsDoubted(aTarget.mTrust, aNow) && Busy(aTarget) == 0 &&
+  bool isOpen = aTarget.mState != TargetState::Ejected && Busy(aTarget) == 0 &&
                 !IsUnreachedFrom(aTarget, aNow, aDemand.mNode);
+  bool isTrusted =
+    aTarget.mState == TargetState::Serving && !IsDoubted(aTarget.mTrust, aNow);
   Duration unused = aNow - aTarget.mUsedAt;
-  bool isDue = (aDemand.mMaySuffer && unused >= kNeglectTime) ||
-               (aDemand.mMaySpread && unused >= kSpreadTime);
-  return isOpen && isDue;
+  bool isUnknown = isTrusted && aDemand.mMaySuffer && unused >= kNeglectTime;
+  bool isLeftOut = aPool.mAreManyUnserved && unused >= kSpreadTime &&
+                   (isTrusted || aDemand.mMaySuffer);
+  return isOpen && (isUnknown || isLeftOut);
 }
 
 std::optional<Preference>
@@ -321,7 +326,7 @@
   if (Settles(aPool, aTarget, aNow, open, aDemand)) {
     return Preference{};
   }
-  if (IsNeglected(aTarget, aNow, aDemand)) {
+  if (IsNeglected(aPool, aTarget, aNow, aDemand)) {
     Preference preference;
     preference.mOrder = aTarget.mUsedAt.time_since_epoch();
     return preference;
@@ -548,7 +553,10 @@
   std::vector<PoolChange> changes;
   aPool.mBaseFailureRate = MedianFailureRate(aPool);
   for (auto& [id, target] : aPool.mTargets) {
-    if (target.mState == TargetState::Ejected && aNow >= target.mRetryAt) {
+    bool isLeftOut =
+      aPool.mAreManyUnserved && aNow - target.mUsedAt >= kSpreadTime;
+    if (target.mState == TargetState::Ejected &&
+        (aNow >= target.mRetryAt || isLeftOut)) {
       target.mState = TargetState::Trial;
       target.mTrial = {};
       changes.push_back({ id, kEventTrialStarted, "" });
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -74,6 +74,10 @@
   Duration mTrialPause = kLongestTrialPause;
   /** Failures that the targets have in common, 0 to 1. */
   double mBaseFailureRate = 0;
+  /** Many requests of the service are not served. What is believed of targets
+   * that get no work may be the reason, so none is left without a request for
+   * long, and pauses of ejected ones end. */
+  bool mAreManyUnserved = false;
   /** The number of zones whose proxies use the service now. */
   std::size_t mActiveZones = 1;
   bool mHasView = false;
@@ -91,9 +95,6 @@
   bool mNeedsTrust = false;
   /** May try out a target that is suspected: idempotent, short and fresh. */
   bool mMaySuffer = false;
-  /** Many requests of the service fail: targets of which nobody knows any more
-   * how they do are tried also with work that may not be repeated. */
-  bool mMaySpread = false;
   /** May wait at a busy target for its next free slot. */
   bool mMayQueueAhead = false;
 };
--- a/test/correctness/FloorsHold.cpp
+++ b/test/correctness/FloorsHold.cpp
@@ -52,3 +52,46 @@
     }
   }));
 }
+
+/** The load of a day on which a third of the targets was ejected for 20 s on
+ * the evidence of a gray spell of a second, while another fault made many
+ * requests fail: 70 requests a second, one in three may be repeated. No target
+ * may be without a request for two seconds. */
+TEST(Floors, LeaveNoTargetOutWhileManyRequestsAreNotServed)
+{
+  constexpr std::size_t kTargets = 20;
+  TargetPool pool;
+  pool.mFloorPercent = 70;
+  std::vector<Vm> vms;
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    vms.push_back(
+      { "s", "t" + std::to_string(i) + ":80", "", ZoneName("z"), 3, false });
+  }
+  UpdatePool(pool, kStart, "s", vms);
+  Observation failure;
+  failure.mIsFailure = true;
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    TargetId target("t" + std::to_string(i) + ":80");
+    for (int n = 0; n < 10; ++n) {
+      Observe(pool, kStart, target, ZoneName("z"), failure);
+      NoteFailure(pool.mTargets[target].mTrust, kStart, kFailureDoubt);
+    }
+  }
+  CHECK(UsableSlots(pool, kStart) < 3 * kTargets);
+  std::map<TargetId, int> requests;
+  int n = 0;
+  for (TimePoint now = kStart; now < kStart + milliseconds(2000);
+       now += milliseconds(14)) {
+    pool.mAreManyUnserved = true;
+    PoolTick(pool, now);
+    SlotDemand demand;
+    demand.mNode = NodeId("n");
+    demand.mZone = ZoneName("z");
+    demand.mMaySuffer = n++ % 3 == 0;
+    if (auto target = PickTarget(pool, now, demand)) {
+      pool.mTargets[*target].mUsedAt = now;
+      ++requests[*target];
+    }
+  }
+  LONGS_EQUAL(kTargets, requests.size());
+}
