Give the fleet's duties to the VMs with most processor time

Cause: on the grown sites VMs have 0.1 to 0.5 cores. Ruled out: a hash weighted by the share alone. Six strong VMs of 92 weigh less than the 86 weak ones together, so that a weak one would still win most draws. Change: members tell their processor share with their statements; duties go to the VMs with at least half of the strongest's share, the others follow in line (Duties). A feed's rank is worked out only when the members have changed.

--- a/src/ConfigReader.cpp
+++ b/src/ConfigReader.cpp
@@ -1,5 +1,6 @@
 #include "ConfigReader.h"
 
+#include "Duties.h"
 #include "EventNumbers.h"
 #include "Rendezvous.h"
 
@@ -30,8 +31,7 @@
 std::vector<NodeId>
 ZoneReaders(const MembersState& aMembers)
 {
-  return PickOwners(
-    LiveMembersIn(aMembers, aMembers.mZone), "config-reader", kReadersPerZone);
+  return DutyOwnersInZone(aMembers, "config-reader", kReadersPerZone);
 }
 
 bool
@@ -187,8 +187,7 @@
     return;
   }
   aState.mNextPullAt = aContext.mNow + kPullInterval;
-  std::vector<NodeId> readers = PickOwners(
-    LiveMembersIn(members, members.mZone), "config-reader", kReadersPerZone);
+  std::vector<NodeId> readers = ZoneReaders(members);
   std::vector<NodeId> all = Peers(LiveMembers(members), members.mSelf);
   std::vector<NodeId> near = Peers(readers, members.mSelf);
   if (aState.mIsLoaded && !near.empty()) {
@@ -212,8 +211,7 @@
   if (!isDue || aState.mIsAppending || !aState.mIsLoaded) {
     return;
   }
-  NodeId writer =
-    PickOwner(LiveMembers(aContext.mMembers), "config-checkpoint");
+  NodeId writer = DutyOwner(aContext.mMembers, "config-checkpoint");
   if (writer != aContext.mMembers.mSelf) {
     return;
   }
--- /dev/null
+++ b/src/Duties.cpp
@@ -0,0 +1,78 @@
+#include "Duties.h"
+
+#include "Rendezvous.h"
+
+#include <algorithm>
+
+namespace vanillascale {
+
+namespace {
+
+/** A VM is strong with at least 1 / kStrongDivisor of the strongest's share. */
+constexpr unsigned kStrongDivisor = 2;
+
+unsigned
+CorePercentOf(const MembersState& aState, const NodeId& aNode)
+{
+  if (aNode == aState.mSelf) {
+    return aState.mCorePercent;
+  }
+  auto it = aState.mMembers.find(aNode);
+  return it == aState.mMembers.end() ? 0 : it->second.mCorePercent;
+}
+
+} // namespace
+
+std::vector<NodeId>
+PickForDuty(const MembersState& aState,
+            const std::vector<NodeId>& aMembers,
+            std::string_view aDuty,
+            std::size_t aCount)
+{
+  unsigned most = 0;
+  for (const NodeId& it : aMembers) {
+    most = std::max(most, CorePercentOf(aState, it));
+  }
+  std::vector<NodeId> strong;
+  std::vector<NodeId> weak;
+  for (const NodeId& it : aMembers) {
+    bool isStrong = CorePercentOf(aState, it) * kStrongDivisor >= most;
+    (isStrong ? strong : weak).push_back(it);
+  }
+  std::vector<NodeId> owners = PickOwners(strong, aDuty, aCount);
+  if (owners.size() < aCount) {
+    auto others = PickOwners(weak, aDuty, aCount - owners.size());
+    owners.insert(owners.end(), others.begin(), others.end());
+  }
+  return owners;
+}
+
+NodeId
+DutyOwner(const MembersState& aState, std::string_view aDuty)
+{
+  auto owners = PickForDuty(aState, LiveMembers(aState), aDuty, 1);
+  return owners.empty() ? NodeId() : owners.front();
+}
+
+std::vector<NodeId>
+DutyOwnersInZone(const MembersState& aState,
+                 std::string_view aDuty,
+                 std::size_t aCount)
+{
+  return PickForDuty(
+    aState, LiveMembersIn(aState, aState.mZone), aDuty, aCount);
+}
+
+std::string
+SchedulerDuty(const ServiceName& aService)
+{
+  return "scheduler/" + aService.mValue;
+}
+
+std::string
+IntentDuty(const std::string& aStream)
+{
+  return "intents/" + aStream;
+}
+
+} // namespace vanillascale
--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -1,7 +1,7 @@
 #include "KeyedFeed.h"
 
+#include "Duties.h"
 #include "EventNumbers.h"
-#include "Rendezvous.h"
 
 #include <algorithm>
 
@@ -25,15 +25,19 @@
  * after some seconds at the earliest. */
 constexpr Duration kOutageTime = milliseconds(1500);
 
-/** This node's place among the readers of its zone. */
+/** This node's place among the readers of its zone; worked out anew only when
+ * the members have changed. */
 std::size_t
-RankOf(const KeyedFeedState& aState, const MembersState& aMembers)
+RankOf(KeyedFeedState& aState, const MembersState& aMembers)
 {
-  auto readers = PickOwners(LiveMembersIn(aMembers, aMembers.mZone),
-                            "feed/" + aState.mSettings.mTopic,
-                            kSuccessors);
-  auto it = std::find(readers.begin(), readers.end(), aMembers.mSelf);
-  return static_cast<std::size_t>(it - readers.begin());
+  if (aState.mRankedMembers != aMembers.mVersion) {
+    aState.mRankedMembers = aMembers.mVersion;
+    auto readers = DutyOwnersInZone(
+      aMembers, "feed/" + aState.mSettings.mTopic, kSuccessors);
+    auto it = std::find(readers.begin(), readers.end(), aMembers.mSelf);
+    aState.mRank = static_cast<std::size_t>(it - readers.begin());
+  }
+  return aState.mRank;
 }
 
 void
@@ -50,7 +54,7 @@
 }
 
 bool
-IsReadDue(const KeyedFeedState& aState, const FeedContext& aContext)
+IsReadDue(KeyedFeedState& aState, const FeedContext& aContext)
 {
   if (aState.mIsReading || aContext.mNow < aState.mNextReadAt) {
     return false;
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -44,6 +44,10 @@
   bool mNeedsWhole = true;
   TimePoint mNextReadAt{};
   TimePoint mNextPullAt{};
+  /** This node's place among the readers of its zone, and the version of the
+   * members that it was worked out from. */
+  std::size_t mRank = 0;
+  std::uint64_t mRankedMembers = 0;
   /** Failed reads, one after the other. */
   unsigned mFailures = 0;
   /** Entries that vanished around an outage, with the time to drop them. */
--- a/src/Members.cpp
+++ b/src/Members.cpp
@@ -46,7 +46,17 @@
   return { aState.mSelf,
            aState.mZone,
            aState.mIncarnation,
-           aState.mIsLeaving ? MemberStatus::Leaving : MemberStatus::Alive };
+           aState.mIsLeaving ? MemberStatus::Leaving : MemberStatus::Alive,
+           aState.mCorePercent };
+}
+
+/** What this node says of a member, with a status of its own finding. */
+MemberUpdate
+Statement(const NodeId& aNode, const Member& aMember, MemberStatus aStatus)
+{
+  return {
+    aNode, aMember.mZone, aMember.mIncarnation, aStatus, aMember.mCorePercent
+  };
 }
 
 /** Takes the statements that ride on the next probe: this node's own, then
@@ -80,8 +90,7 @@
   candidates.resize(n);
   for (const Candidate& it : candidates) {
     Member& member = aState.mMembers.at(*it.mNode);
-    updates.push_back(
-      { *it.mNode, member.mZone, member.mIncarnation, member.mStatus });
+    updates.push_back(Statement(*it.mNode, member, member.mStatus));
     if (--member.mSpreadsLeft == 0) {
       aState.mSpreading.erase(*it.mNode);
     }
@@ -97,11 +106,13 @@
 {
   Member& member = aState.mMembers[aNode];
   bool carriedDuties = CarriesDuties(member);
+  bool isShareNew = member.mCorePercent != aUpdate.mCorePercent;
   member.mIsJoining =
     member.mIncarnation == 0 && aUpdate.mStatus == MemberStatus::Alive;
   member.mZone = aUpdate.mZone;
   member.mIncarnation = aUpdate.mIncarnation;
   member.mStatus = aUpdate.mStatus;
+  member.mCorePercent = aUpdate.mCorePercent;
   member.mStatusSince = aNow;
   member.mSpreadsLeft = SpreadCount(aState, member.mIsJoining);
   aState.mSpreading.insert(aNode);
@@ -111,7 +122,7 @@
   } else {
     aState.mDoubtful.erase(aNode);
   }
-  if (carriedDuties != CarriesDuties(member)) {
+  if (carriedDuties != CarriesDuties(member) || isShareNew) {
     ++aState.mVersion;
   }
 }
@@ -183,15 +194,9 @@
   }
   const Member& member = it->second;
   if (member.mStatus == MemberStatus::Alive) {
-    TakeUpdate(
-      aState,
-      aNow,
-      { aNode, member.mZone, member.mIncarnation, MemberStatus::Suspect });
+    TakeUpdate(aState, aNow, Statement(aNode, member, MemberStatus::Suspect));
   } else if (member.mStatus == MemberStatus::Leaving) {
-    TakeUpdate(
-      aState,
-      aNow,
-      { aNode, member.mZone, member.mIncarnation, MemberStatus::Dead });
+    TakeUpdate(aState, aNow, Statement(aNode, member, MemberStatus::Dead));
   }
 }
 
@@ -259,10 +264,7 @@
   }
   for (const NodeId& it : dead) {
     const Member& member = aState.mMembers.at(it);
-    SetStatus(aState,
-              aNow,
-              it,
-              { it, member.mZone, member.mIncarnation, MemberStatus::Dead });
+    SetStatus(aState, aNow, it, Statement(it, member, MemberStatus::Dead));
   }
   for (const NodeId& it : forgotten) {
     aState.mSpreading.erase(it);
@@ -364,8 +366,7 @@
   ack.mUpdates = TakeUpdates(aState);
   if (it != aState.mMembers.end()) {
     const Member& member = it->second;
-    ack.mUpdates.push_back(
-      { aFrom, member.mZone, member.mIncarnation, member.mStatus });
+    ack.mUpdates.push_back(Statement(aFrom, member, member.mStatus));
   }
   aEffects.push_back(SendPeer{ aFrom, std::move(ack) });
 }
--- a/src/Members.h
+++ b/src/Members.h
@@ -17,6 +17,8 @@
   ZoneName mZone;
   std::uint64_t mIncarnation = 0;
   MemberStatus mStatus = MemberStatus::Alive;
+  /** Its processor share, in percent of a core; 0 where it is not known. */
+  unsigned mCorePercent = 0;
   TimePoint mStatusSince{};
   /** How often the latest statement still rides on probes. */
   unsigned mSpreadsLeft = 0;
@@ -51,6 +53,8 @@
   NodeId mSelf;
   ZoneName mZone;
   std::uint64_t mIncarnation = 0;
+  /** This VM's processor share, in percent of a core. */
+  unsigned mCorePercent = 0;
   bool mIsLeaving = false;
   std::map<NodeId, Member> mMembers;
   std::vector<NodeId> mProbeOrder;
@@ -68,7 +72,8 @@
   LogOffset mHeardConfigOffset = 0;
   /** This node's own configuration offset, as it tells it. */
   LogOffset mOwnConfigOffset = 0;
-  /** Raised whenever the outcome of LiveMembers may have changed. */
+  /** Raised whenever the outcome of LiveMembers, or of who is in line for a
+   * duty, may have changed. */
   std::uint64_t mVersion = 1;
 
   /** Makes the view of a node that knows itself alone. */
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -29,7 +29,10 @@
   ZoneName mZone;
   std::uint64_t mIncarnation = 0;
   MemberStatus mStatus = MemberStatus::Alive;
-  MSGPACK_DEFINE(mNode, mZone, mIncarnation, mStatus)
+  /** The VM's processor share, in percent of a core; 0 where it is not known.
+   */
+  unsigned mCorePercent = 0;
+  MSGPACK_DEFINE(mNode, mZone, mIncarnation, mStatus, mCorePercent)
 };
 
 /** Asks a member whether it is there. mConfigOffset is the highest offset of
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -1,7 +1,7 @@
 #include "Node.h"
 
+#include "Duties.h"
 #include "EventNumbers.h"
-#include "Rendezvous.h"
 
 #include <algorithm>
 
@@ -347,10 +347,9 @@
     bool isIdle = scheduler.mLeases.empty() &&
                   scheduler.mQueue.mEntries.empty() &&
                   aNow - scheduler.mLastAskedAt > kIdleSchedulerTime;
-    bool isEnded =
-      !service ||
-      (isIdle && PickOwner(LiveMembers(aState.mMembers),
-                           SchedulerDuty(it->first)) != aState.mIdentity.mSelf);
+    bool isEnded = !service || (isIdle && DutyOwner(aState.mMembers,
+                                                    SchedulerDuty(it->first)) !=
+                                            aState.mIdentity.mSelf);
     if (isEnded) {
       aEffects.push_back(
         WriteEvent{ kEventSchedulerEnded, "service=" + it->first.mValue });
@@ -497,6 +496,7 @@
   state.mRandom.seed(aIdentity.mSeed);
   state.mMembers = MembersState::Make(
     aIdentity.mSelf, aIdentity.mZone, aIdentity.mIncarnation);
+  state.mMembers.mCorePercent = aIdentity.mCorePercent;
   state.mConfig = ConfigReaderState::Make(aIdentity.mEnvironment, aNow);
   state.mProxy = ProxyState::Make(
     aIdentity.mSelf, aIdentity.mIncarnation, aIdentity.mEnvironment);
--- a/src/Node.h
+++ b/src/Node.h
@@ -38,6 +38,8 @@
   /** Higher for every later process with the same id. */
   std::uint64_t mIncarnation = 1;
   std::uint64_t mSeed = 1;
+  /** The VM's processor share, in percent of a core. */
+  unsigned mCorePercent = 100;
   ConfigSource mSource = ConfigSource::ChangeStream;
   /** Other proxies that may be there already. */
   std::vector<NodeId> mSeeds;
--- a/src/NodeRuntime.cpp
+++ b/src/NodeRuntime.cpp
@@ -61,6 +61,7 @@
     std::chrono::duration_cast<milliseconds>(wall).count());
   identity.mSeed = Hash64(identity.mSelf.mValue, identity.mIncarnation);
   identity.mSource = aSource;
+  identity.mCorePercent = aSettings.mCorePercent;
   identity.mStopWithin = aSettings.mStopWithin;
   for (const Endpoint& it : aSettings.mSeeds) {
     identity.mSeeds.emplace_back(
@@ -375,6 +376,7 @@
             " platform=" + FormatEndpoint(mSettings.mPlatform) + " seeds=" +
             std::to_string(mSettings.mSeeds.size()) + " stop_within_ms=" +
             std::to_string(mSettings.mStopWithin / milliseconds(1)) +
+            " core_percent=" + std::to_string(mSettings.mCorePercent) +
             " max_callers=" + std::to_string(mSettings.mMaxCallers));
     ArmSignals();
     ArmSweep();
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -621,16 +621,4 @@
   }
 }
 
-std::string
-SchedulerDuty(const ServiceName& aService)
-{
-  return "scheduler/" + aService.mValue;
-}
-
-std::string
-IntentDuty(const std::string& aStream)
-{
-  return "intents/" + aStream;
-}
-
 } // namespace vanillascale
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -229,13 +229,6 @@
                  const ConfigState& aConfig,
                  const std::vector<Vm>& aVms);
 
-/** The duty names under which members carry a service's schedule and a stream's
- * intents. Pure. */
-std::string
-SchedulerDuty(const ServiceName& aService);
-std::string
-IntentDuty(const std::string& aStream);
-
 } // namespace vanillascale
 
 #endif
--- a/src/ProxyIntents.cpp
+++ b/src/ProxyIntents.cpp
@@ -1,7 +1,7 @@
 #include "ProxyIntents.h"
 
+#include "Duties.h"
 #include "IntentWriter.h"
-#include "Rendezvous.h"
 
 namespace vanillascale {
 
@@ -20,7 +20,7 @@
          const RequestKey& aKey)
 {
   std::string duty = IntentDuty(IntentStream(aState.mEnvironment, aKey));
-  return PickOwner(LiveMembers(aContext.mMembers), duty);
+  return DutyOwner(aContext.mMembers, duty);
 }
 
 void
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -1,8 +1,8 @@
 #include "ProxyLeases.h"
 
+#include "Duties.h"
 #include "EventNumbers.h"
 #include "Hash.h"
-#include "Rendezvous.h"
 
 #include <algorithm>
 
@@ -44,7 +44,9 @@
     }
     ++it;
   }
-  return PickOwner(members, SchedulerDuty(aService));
+  auto owners =
+    PickForDuty(aContext.mMembers, members, SchedulerDuty(aService), 1);
+  return owners.empty() ? NodeId() : owners.front();
 }
 
 SchedulerLink&
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -4,6 +4,7 @@
 #include <arpa/inet.h>
 #include <boost/program_options.hpp>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <functional>
 #include <sstream>
@@ -136,6 +137,22 @@
   return areGood;
 }
 
+/** A share of a core, as 0.2, or of several, as 4. */
+bool
+TakeCores(Settings& aSettings, const std::string& aText)
+{
+  constexpr double kLeastCores = 0.01;
+  constexpr double kMostCores = 1024;
+  double cores = 0;
+  const char* end = aText.data() + aText.size();
+  auto [stop, ec] = std::from_chars(aText.data(), end, cores);
+  bool fits = ec == std::errc() && stop == end && cores >= kLeastCores &&
+              cores <= kMostCores;
+  aSettings.mCorePercent =
+    fits ? static_cast<unsigned>(std::lround(cores * 100)) : 0;
+  return fits;
+}
+
 bool
 TakeStopWithin(Settings& aSettings, const std::string& aText)
 {
@@ -195,6 +212,11 @@
       "takes",
       "a number from 0 to 600000",
       TakeStopWithin },
+    { "cores",
+      "1",
+      "the processor share that the VM grants; strong VMs carry the duties",
+      "a number of cores from 0.01 to 1024",
+      TakeCores },
     { "zone", "", "this VM's availability zone", sName, TakeZone },
     { "environment",
       "",
--- a/test/correctness/SchedulersMayFail.cpp
+++ b/test/correctness/SchedulersMayFail.cpp
@@ -1,3 +1,4 @@
+#include "Duties.h"
 #include "Rendezvous.h"
 
 #include "../support/SmallSite.h"
