Try the targets in question in turn, the longest unused first

A trial in a scratch copy that wrote the unused targets each second showed 40 targets on trial at once; those at the end of the alphabet had waited 5 to 12 s, since all trials compared equal and the first in the map won. Ruled out: that the flag for many unserved requests was off (it was on in each line). Change: a target on trial, suspected or neglected is ordered by when it was last used. Before and after: new test TakeTurnsInBeingTried fails, passes.

--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -323,10 +323,9 @@
        const SlotDemand& aDemand)
 {
   unsigned open = OpenSlotsOf(aTarget, aNow);
-  if (Settles(aPool, aTarget, aNow, open, aDemand)) {
-    return Preference{};
-  }
-  if (IsNeglected(aPool, aTarget, aNow, aDemand)) {
+  if (Settles(aPool, aTarget, aNow, open, aDemand) ||
+      IsNeglected(aPool, aTarget, aNow, aDemand)) {
+    // The longest unused first: where many are in question, each gets its turn.
     Preference preference;
     preference.mOrder = aTarget.mUsedAt.time_since_epoch();
     return preference;
--- a/test/correctness/GrayTargetsAreAvoided.cpp
+++ b/test/correctness/GrayTargetsAreAvoided.cpp
@@ -231,3 +231,44 @@
   LONGS_EQUAL(3, std::get<LeaseGrant>(read).mRequest);
   STRCMP_EQUAL("t0", std::get<LeaseGrant>(read).mTarget.mValue.c_str());
 }
+
+/** 30 of 40 targets are doubted or on trial at once, and there are fewer
+ * requests that may be repeated than it takes to settle all: each gets its
+ * turn, whatever its name. */
+TEST(GrayTargets, TakeTurnsInBeingTried)
+{
+  constexpr std::size_t kMany = 40;
+  constexpr std::size_t kInQuestion = 30;
+  TargetPool pool;
+  std::vector<Vm> vms(kMany);
+  for (std::size_t i = 0; i < kMany; ++i) {
+    vms[i].mGroup = "ledger";
+    vms[i].mAddress = "t" + std::to_string(i);
+    vms[i].mZone = ZoneName("z");
+    vms[i].mSlots = 3;
+  }
+  UpdatePool(pool, kStart, "ledger", vms);
+  std::map<TargetId, int> tried;
+  for (std::size_t i = 0; i < kInQuestion; ++i) {
+    TargetId id("t" + std::to_string(i));
+    pool.mTargets[id].mState = TargetState::Trial;
+    tried[id] = 0;
+  }
+  for (int i = 0; i < 60; ++i) {
+    TimePoint now = kStart + milliseconds(10 * i);
+    SlotDemand demand;
+    demand.mNode = NodeId("n");
+    demand.mZone = ZoneName("z");
+    demand.mMaySuffer = true;
+    auto target = PickTarget(pool, now, demand);
+    CHECK(target.has_value());
+    pool.mTargets[*target].mUsedAt = now;
+    if (tried.count(*target) > 0) {
+      ++tried[*target];
+    }
+  }
+  for (const auto& [id, n] : tried) {
+    CHECK(n >= 1);
+    CHECK(n <= 3);
+  }
+}
