Tell proxies only which targets are out of use; choose alone by a setting

A scheduler sent its whole view of 239 targets, on a connection of its own, to all proxies after each of some 1,900 changes of a target's state. Change: proxies know the targets from the VM list, so a view names only those that are out of use, every 5 s at most and to proxies that asked since. Local choice uses the same graded trust as the schedule and waits up to half of the route's goal. The setting placement = alone makes it the only way, to compare.

--- a/src/LocalChoice.h
+++ b/src/LocalChoice.h
@@ -1,8 +1,9 @@
 #ifndef VANILLASCALE_LOCALCHOICE_H
 #define VANILLASCALE_LOCALCHOICE_H
 
-#include "Messages.h"
+#include "NodeEvents.h"
 #include "Random.h"
+#include "TargetTrust.h"
 
 #include <map>
 #include <optional>
@@ -14,29 +15,40 @@
 {
   ZoneName mZone;
   unsigned mSlots = 0;
-  bool mIsUsable = true;
+  bool mIsLeaving = false;
+  /** A scheduler has said that the target is out of use; believed until then.
+   */
+  TimePoint mOutUntil{};
   unsigned mInFlight = 0;
-  /** Failures one after the other, without an answer in between. */
-  unsigned mFailures = 0;
-  TimePoint mAvoidUntil{};
+  /** From this proxy's own requests. */
+  TargetTrust mTrust;
 };
 
 /** How a proxy chooses targets while no scheduler answers: two random choices
- * by its own requests in flight, within its fair share of the slots. */
+ * by its own requests in flight, within its fair share of the slots. A target
+ * that failed one of its own requests lately is chosen only where there is no
+ * other. */
 struct LocalChoice
 {
   std::map<TargetId, LocalTarget> mTargets;
   unsigned mInFlight = 0;
 };
 
-/** Takes over a scheduler's, or the VM list's, view of the targets. */
+/** Takes over the VM list's view of one service's VM group. */
 void
 UpdateLocalTargets(LocalChoice& aChoice,
-                   const std::vector<TargetSummary>& aTargets);
+                   const std::string& aVmGroup,
+                   const std::vector<Vm>& aVms);
+
+/** Takes over which targets a scheduler holds out of use now. */
+void
+NoteOutOfUse(LocalChoice& aChoice,
+             TimePoint aNow,
+             const std::vector<TargetId>& aTargets);
 
 /** Requests that this proxy may have out at once, of a fleet of aProxies. */
 unsigned
-FairShare(const LocalChoice& aChoice, std::size_t aProxies);
+FairShare(const LocalChoice& aChoice, TimePoint aNow, std::size_t aProxies);
 
 /** Picks a target, or nothing where the share is used up or none is usable. */
 std::optional<TargetId>
@@ -50,12 +62,13 @@
 void
 NoteSent(LocalChoice& aChoice, const TargetId& aTarget);
 
-/** Counts a request that came back, well or not. */
+/** Counts a request, sent at aSentAt, that came back. */
 void
 NoteEnded(LocalChoice& aChoice,
           TimePoint aNow,
           const TargetId& aTarget,
-          bool aIsFailure);
+          TimePoint aSentAt,
+          TargetOutcome aOutcome);
 
 } // namespace vanillascale
 
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -207,22 +207,13 @@
   MSGPACK_DEFINE(mService, mLeases)
 };
 
-/** One target as its scheduler sees it. */
-struct TargetSummary
-{
-  TargetId mTarget;
-  ZoneName mZone;
-  std::uint8_t mSlots = 0;
-  bool mIsUsable = true;
-  MSGPACK_DEFINE(mTarget, mZone, mSlots, mIsUsable)
-};
-
-/** Tells proxies a service's targets, for use while no scheduler answers. */
+/** Tells proxies which of a service's targets its scheduler holds out of use,
+ * for the time when no scheduler answers. */
 struct TargetView
 {
   ServiceName mService;
-  std::vector<TargetSummary> mTargets;
-  MSGPACK_DEFINE(mService, mTargets)
+  std::vector<TargetId> mOutOfUse;
+  MSGPACK_DEFINE(mService, mOutOfUse)
 };
 
 /** One record of a stream of the platform's log. */
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -57,8 +57,10 @@
 ProxyContext
 ContextOf(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
-  return { aNow,           aState.mMembers, aState.mConfig.mConfig,
-           aState.mRandom, aEffects,        RefusesNew(aState, aNow) };
+  return {
+    aNow,           aState.mMembers, aState.mConfig.mConfig,  aState.mVms,
+    aState.mRandom, aEffects,        RefusesNew(aState, aNow)
+  };
 }
 
 FeedContext
@@ -500,6 +502,7 @@
   state.mConfig = ConfigReaderState::Make(aIdentity.mEnvironment, aNow);
   state.mProxy = ProxyState::Make(
     aIdentity.mSelf, aIdentity.mIncarnation, aIdentity.mEnvironment);
+  state.mProxy.mChoosesAlone = aIdentity.mChoosesAlone;
   std::vector<Vm> seeds;
   for (const NodeId& it : aIdentity.mSeeds) {
     Vm vm;
--- a/src/Node.h
+++ b/src/Node.h
@@ -38,6 +38,8 @@
   /** Higher for every later process with the same id. */
   std::uint64_t mIncarnation = 1;
   std::uint64_t mSeed = 1;
+  /** Choose targets locally, without schedulers: a baseline to compare with. */
+  bool mChoosesAlone = false;
   /** The VM's processor share, in percent of a core. */
   unsigned mCorePercent = 100;
   ConfigSource mSource = ConfigSource::ChangeStream;
--- a/src/NodeRuntime.cpp
+++ b/src/NodeRuntime.cpp
@@ -62,6 +62,7 @@
   identity.mSeed = Hash64(identity.mSelf.mValue, identity.mIncarnation);
   identity.mSource = aSource;
   identity.mCorePercent = aSettings.mCorePercent;
+  identity.mChoosesAlone = aSettings.mChoosesAlone;
   identity.mStopWithin = aSettings.mStopWithin;
   for (const Endpoint& it : aSettings.mSeeds) {
     identity.mSeeds.emplace_back(
@@ -376,6 +377,7 @@
             " platform=" + FormatEndpoint(mSettings.mPlatform) + " seeds=" +
             std::to_string(mSettings.mSeeds.size()) + " stop_within_ms=" +
             std::to_string(mSettings.mStopWithin / milliseconds(1)) +
+            " placement=" + (mSettings.mChoosesAlone ? "alone" : "lease") +
             " core_percent=" + std::to_string(mSettings.mCorePercent) +
             " max_callers=" + std::to_string(mSettings.mMaxCallers));
     ArmSignals();
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -16,6 +16,8 @@
 constexpr unsigned kMostFailedConnects = 5;
 /** A local wait is cut where a scheduler would cut it. */
 constexpr int kLocalPatiencePercent = 9;
+/** Where the route states a goal: the other half is left for the work. */
+constexpr int kLocalGoalDivisor = 2;
 
 ProxyRequest*
 FindRequest(ProxyState& aState, RequestId aId)
@@ -283,8 +285,9 @@
     return false;
   }
   Duration left = aRequest.mDeadlineAt - aRequest.mStageSince;
-  Duration waited = aContext.mNow - aRequest.mStageSince;
-  return waited * 100 >= left * kLocalPatiencePercent;
+  Duration patience = std::max(left * kLocalPatiencePercent / 100,
+                               aRequest.mGoal / kLocalGoalDivisor);
+  return aContext.mNow - aRequest.mStageSince >= patience;
 }
 
 } // namespace
@@ -484,7 +487,7 @@
 {
   auto link = aState.mLinks.find(aView.mService);
   if (link != aState.mLinks.end() && link->second.mScheduler == aFrom) {
-    UpdateLocalTargets(link->second.mLocal, aView.mTargets);
+    NoteOutOfUse(link->second.mLocal, aContext.mNow, aView.mOutOfUse);
     NoteSchedulerAlive(aState, aContext, aView.mService, aFrom);
   }
 }
@@ -604,20 +607,9 @@
 {
   for (auto& [service, link] : aState.mLinks) {
     auto settings = aConfig.mDocument.mServices.find(service);
-    bool isNeeded = link.mLocal.mTargets.empty() || link.mIsFallback;
-    if (!isNeeded || settings == aConfig.mDocument.mServices.end()) {
-      continue;
+    if (settings != aConfig.mDocument.mServices.end()) {
+      UpdateLocalTargets(link.mLocal, settings->second.mVmGroup, aVms);
     }
-    std::vector<TargetSummary> targets;
-    for (const Vm& it : aVms) {
-      if (it.mGroup == settings->second.mVmGroup) {
-        targets.push_back({ TargetId(it.mAddress),
-                            it.mZone,
-                            static_cast<std::uint8_t>(it.mSlots),
-                            !it.mIsLeaving });
-      }
-    }
-    UpdateLocalTargets(link.mLocal, targets);
   }
 }
 
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -136,6 +136,8 @@
   std::map<RequestId, AbandonedIntent> mAbandoned;
   KeptAnswers mKept;
   ProxyCounters mCounters;
+  /** Targets are always chosen locally and no scheduler is asked. */
+  bool mChoosesAlone = false;
 
   /** Makes the state of a process. aIncarnation differs from that of every
    * earlier process with the same id. */
@@ -150,6 +152,7 @@
   TimePoint mNow{};
   const MembersState& mMembers;
   const ConfigState& mConfig;
+  const std::vector<Vm>& mVms;
   Random& mRandom;
   Effects& mEffects;
   /** The process will end before new requests could. */
@@ -222,8 +225,7 @@
 void
 ProxyTick(ProxyState& aState, const ProxyContext& aContext);
 
-/** Takes over targets from the VM list for services that no scheduler has
- * described yet. */
+/** Takes over a new VM list for the services that this proxy has used. */
 void
 SeedLocalTargets(ProxyState& aState,
                  const ConfigState& aConfig,
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -49,12 +49,33 @@
   return owners.empty() ? NodeId() : owners.front();
 }
 
+/** Tells a new link the targets of its service. */
+void
+SeedLink(const ProxyContext& aContext,
+         const ServiceName& aService,
+         SchedulerLink& aLink)
+{
+  const auto& services = aContext.mConfig.mDocument.mServices;
+  auto it = services.find(aService);
+  if (it != services.end()) {
+    UpdateLocalTargets(aLink.mLocal, it->second.mVmGroup, aContext.mVms);
+  }
+}
+
 SchedulerLink&
 LinkOf(ProxyState& aState,
        const ProxyContext& aContext,
        const ServiceName& aService)
 {
-  SchedulerLink& link = aState.mLinks[aService];
+  auto [entry, isNew] = aState.mLinks.try_emplace(aService);
+  SchedulerLink& link = entry->second;
+  if (isNew) {
+    SeedLink(aContext, aService, link);
+    link.mIsFallback = aState.mChoosesAlone;
+  }
+  if (aState.mChoosesAlone) {
+    return link;
+  }
   bool isOutdated = link.mMembersVersion != aContext.mMembers.mVersion ||
                     aContext.mNow >= link.mPassOverEndsAt;
   if (isOutdated) {
@@ -204,7 +225,7 @@
               SchedulerLink& aLink,
               const std::vector<ProxyRequest*>& aWaiting)
 {
-  bool mayProbe = aContext.mNow >= aLink.mNextProbeAt;
+  bool mayProbe = !aState.mChoosesAlone && aContext.mNow >= aLink.mNextProbeAt;
   for (ProxyRequest* it : aWaiting) {
     if (mayProbe) {
       // One request at a time goes to ask whether a scheduler is back.
@@ -295,7 +316,7 @@
   ++aRequest.mSends;
   ++aState.mCounters.mSends;
   aState.mCounters.mRetries += aRequest.mIsRetry ? 1 : 0;
-  NoteSent(aState.mLinks[aRequest.mService].mLocal, aTarget);
+  NoteSent(aState.mLinks.at(aRequest.mService).mLocal, aTarget);
   aContext.mEffects.push_back(SendToTarget{
     aRequest.mId, aTarget, aRequest.mDeadlineAt, aRequest.mIsIdempotent });
 }
@@ -307,16 +328,17 @@
             TargetOutcome aOutcome)
 {
   SchedulerLink& link = LinkOf(aState, aContext, aRequest.mService);
-  bool isFailure =
-    aOutcome != TargetOutcome::Answered && aOutcome != TargetOutcome::Cancelled;
-  NoteEnded(link.mLocal, aContext.mNow, aRequest.mTarget, isFailure);
+  NoteEnded(
+    link.mLocal, aContext.mNow, aRequest.mTarget, aRequest.mSentAt, aOutcome);
   LeaseReport report;
   report.mService = aRequest.mService;
   report.mLease = aRequest.mLease;
   report.mOutcome = aOutcome;
   report.mLatency = aContext.mNow - aRequest.mSentAt;
   aRequest.mEndedLease = aRequest.mLease;
-  aContext.mEffects.push_back(SendPeer{ link.mScheduler, std::move(report) });
+  if (!aState.mChoosesAlone) {
+    aContext.mEffects.push_back(SendPeer{ link.mScheduler, std::move(report) });
+  }
   if (link.mIsFallback) {
     ServeLocally(aState, aContext, aRequest.mService, link);
   }
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -24,7 +24,7 @@
 constexpr int kSilenceFactor = 5;
 /** Of the route's mean: work of a well target takes longer in 3 of 100. */
 constexpr int kSlowFactor = 3;
-constexpr Duration kViewInterval = seconds(30);
+constexpr Duration kViewInterval = seconds(5);
 constexpr Duration kClientMemory = seconds(10);
 constexpr Duration kActiveZoneMemory = seconds(5);
 constexpr int kPatiencePercent = 9;
@@ -147,12 +147,6 @@
                        " target=" + it.mTarget.mValue + " " + it.mDetail;
     aEffects.push_back(WriteEvent{ it.mEvent, std::move(text) });
   }
-  if (!aChanges.empty()) {
-    // Proxies that have to decide alone should know.
-    for (auto& [node, client] : aState.mClients) {
-      client.mHasView = false;
-    }
-  }
 }
 
 Duration
@@ -464,28 +458,14 @@
   if (it == aState.mPool.mTargets.end()) {
     return;
   }
-  TargetTrust& trust = it->second.mTrust;
-  switch (aReport.mOutcome) {
-    case TargetOutcome::Answered:
-      if (!aLease.mIsDoubted) {
-        NoteProof(trust, aNow, aLease.mGrantedAt);
-      }
-      return;
-    case TargetOutcome::ServerError:
-    case TargetOutcome::Broken:
-    case TargetOutcome::TimedOut:
-      NoteFailure(trust, aNow, kFailureDoubt);
-      return;
-    case TargetOutcome::Shed:
-      NoteFailure(trust, aNow, kShedDoubt);
-      return;
-    case TargetOutcome::ConnectFailed:
-      NoteUnreached(aState.mPool, aNow, aLease.mTarget, aLease.mHolder);
-      return;
-    case TargetOutcome::Draining:
-    case TargetOutcome::Cancelled:
-    case TargetOutcome::Unused:
-      return;
+  if (aReport.mOutcome == TargetOutcome::ConnectFailed) {
+    NoteUnreached(aState.mPool, aNow, aLease.mTarget, aLease.mHolder);
+    return;
+  }
+  bool isLateProof =
+    aReport.mOutcome == TargetOutcome::Answered && aLease.mIsDoubted;
+  if (!isLateProof) {
+    NoteOutcome(it->second.mTrust, aNow, aLease.mGrantedAt, aReport.mOutcome);
   }
 }
 
@@ -632,33 +612,22 @@
   }
 }
 
+/** Tells clients which targets are out of use, for the time when they may have
+ * to choose alone. They know the targets themselves from the VM list. */
 void
 SendViews(SchedulerState& aState, TimePoint aNow, Effects& aEffects)
 {
-  bool isDue = aNow >= aState.mNextViewAt;
-  if (isDue) {
-    aState.mNextViewAt = aNow + kViewInterval;
-  }
-  TargetView view;
+  TargetView view{ aState.mService, TargetsOutOfUse(aState.mPool, aNow) };
   for (auto it = aState.mClients.begin(); it != aState.mClients.end();) {
     SchedulerClient& client = it->second;
     if (aNow - client.mLastAt > kClientMemory) {
       it = aState.mClients.erase(it);
       continue;
     }
-    if (isDue || !client.mHasView) {
-      if (view.mTargets.empty()) {
-        view.mService = aState.mService;
-        for (const auto& [id, target] : aState.mPool.mTargets) {
-          bool isUsable = !target.mIsLeaving && aNow >= target.mDrainingUntil &&
-                          target.mState == TargetState::Serving;
-          view.mTargets.push_back({ id,
-                                    target.mZone,
-                                    static_cast<std::uint8_t>(target.mSlots),
-                                    isUsable });
-        }
-      }
-      client.mHasView = true;
+    bool hasAsked = client.mLastAt > client.mViewAt;
+    if (hasAsked && !view.mOutOfUse.empty() &&
+        aNow - client.mViewAt >= kViewInterval) {
+      client.mViewAt = aNow;
       aEffects.push_back(SendPeer{ it->first, view });
     }
     ++it;
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -45,7 +45,8 @@
 {
   ZoneName mZone;
   TimePoint mLastAt{};
-  bool mHasView = false;
+  /** When it was last told which targets are out of use. */
+  TimePoint mViewAt{};
 };
 
 /** Counts for the metrics; they only rise. */
@@ -93,7 +94,6 @@
   double mShortDemand = 0;
   Duration mMeanShort{ 0 };
   TimePoint mNextScanAt{};
-  TimePoint mNextViewAt{};
   SchedulerCounters mCounters;
 
   /** Makes the scheduler of a service. aEpoch must differ from that of every
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -120,6 +120,13 @@
   return aText == "store" || aText == "log";
 }
 
+bool
+TakePlacement(Settings& aSettings, const std::string& aText)
+{
+  aSettings.mChoosesAlone = aText == "alone";
+  return aText == "lease" || aText == "alone";
+}
+
 bool
 TakeSeeds(Settings& aSettings, const std::string& aText)
 {
@@ -212,6 +219,12 @@
       "takes",
       "a number from 0 to 600000",
       TakeStopWithin },
+    { "placement",
+      "lease",
+      "whether slots are leased from a service's scheduler or each proxy "
+      "chooses targets alone",
+      "lease or alone",
+      TakePlacement },
     { "cores",
       "1",
       "the processor share that the VM grants; strong VMs carry the duties",
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -48,6 +48,8 @@
   std::string mVmGroup;
   std::size_t mMaxBodyBytes = 0;
   unsigned mMaxCallers = 0;
+  /** Choose targets locally, without schedulers. */
+  bool mChoosesAlone = false;
   /** The processor share that the VM grants, in percent of a core. */
   unsigned mCorePercent = 0;
 };
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -418,6 +418,18 @@
   return n;
 }
 
+std::vector<TargetId>
+TargetsOutOfUse(const TargetPool& aPool, TimePoint aNow)
+{
+  std::vector<TargetId> out;
+  for (const auto& [id, target] : aPool.mTargets) {
+    if (!target.mIsLeaving && !IsUsable(target, aNow)) {
+      out.push_back(id);
+    }
+  }
+  return out;
+}
+
 unsigned
 BusyLongSlots(const TargetPool& aPool)
 {
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -124,6 +124,10 @@
 unsigned
 OpenSlots(const TargetPool& aPool, TimePoint aNow);
 
+/** Targets that are ejected or on trial, or drain by their own word. */
+std::vector<TargetId>
+TargetsOutOfUse(const TargetPool& aPool, TimePoint aNow);
+
 /** Slots in use by long work. */
 unsigned
 BusyLongSlots(const TargetPool& aPool);
--- a/src/TargetTrust.cpp
+++ b/src/TargetTrust.cpp
@@ -74,6 +74,32 @@
   aTrust.mDoubtAt = aNow;
 }
 
+void
+NoteOutcome(TargetTrust& aTrust,
+            TimePoint aNow,
+            TimePoint aSentAt,
+            TargetOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case TargetOutcome::Answered:
+      NoteProof(aTrust, aNow, aSentAt);
+      return;
+    case TargetOutcome::ServerError:
+    case TargetOutcome::Broken:
+    case TargetOutcome::TimedOut:
+    case TargetOutcome::ConnectFailed:
+      NoteFailure(aTrust, aNow, kFailureDoubt);
+      return;
+    case TargetOutcome::Shed:
+      NoteFailure(aTrust, aNow, kShedDoubt);
+      return;
+    case TargetOutcome::Draining:
+    case TargetOutcome::Cancelled:
+    case TargetOutcome::Unused:
+      return;
+  }
+}
+
 double
 DoubtOf(const TargetTrust& aTrust, TimePoint aNow)
 {
--- a/src/TargetTrust.h
+++ b/src/TargetTrust.h
@@ -1,7 +1,7 @@
 #ifndef VANILLASCALE_TARGETTRUST_H
 #define VANILLASCALE_TARGETTRUST_H
 
-#include "Clock.h"
+#include "Messages.h"
 
 namespace vanillascale {
 
@@ -52,6 +52,14 @@
 void
 NoteProof(TargetTrust& aTrust, TimePoint aNow, TimePoint aSentAt);
 
+/** Takes in how a request that was sent at aSentAt ended. Outcomes that say
+ * nothing of the target change nothing. */
+void
+NoteOutcome(TargetTrust& aTrust,
+            TimePoint aNow,
+            TimePoint aSentAt,
+            TargetOutcome aOutcome);
+
 /** The doubt that is left; it halves over time. Pure. */
 double
 DoubtOf(const TargetTrust& aTrust, TimePoint aNow);
