Take the retry budget, the floor and the time to stop from the deployment's terms

Ruled out: that targets were full (no refusal had another reason). Change: platform/PlatformTerms reads the terms; a document's service has retryBurst; a new scheduler starts with a third of it.

--- a/daemons/vanillascaled.cpp
+++ b/daemons/vanillascaled.cpp
@@ -31,7 +31,8 @@
 AdapterFor(const Settings& aSettings)
 {
   return aSettings.mPlatformApi == PlatformApi::Store
-           ? MakeStoreAdapter(aSettings.mEnvironment)
+           ? MakeStoreAdapter(aSettings.mEnvironment,
+                              ParseTerms(aSettings.mPlatformTerms))
            : MakeLogAdapter();
 }
 
--- a/src/Document.cpp
+++ b/src/Document.cpp
@@ -16,6 +16,8 @@
 constexpr unsigned kMaxPriority = 9;
 constexpr unsigned kMaxPercent = 100;
 constexpr unsigned kDefaultRetryPercent = 10;
+constexpr unsigned kDefaultRetryBurst = 30;
+constexpr unsigned kMostRetryBurst = 10000;
 constexpr unsigned kMaxAccountLimit = 1000000;
 constexpr unsigned kMinDeadlineMs = 10;
 constexpr unsigned kMaxDeadlineMs = 600000;
@@ -165,6 +167,8 @@
     reader.Number("guaranteedPercent", 0, kMaxPercent / 2, 5U);
   service.mRetryPercent =
     reader.Number("retryPercent", 0, kMaxPercent, kDefaultRetryPercent);
+  service.mRetryBurst =
+    reader.Number("retryBurst", 0, kMostRetryBurst, kDefaultRetryBurst);
   reader.RefuseOthers();
   return service;
 }
@@ -390,6 +394,9 @@
   if (aService.mRetryPercent != kDefaultRetryPercent) {
     json["retryPercent"] = aService.mRetryPercent;
   }
+  if (aService.mRetryBurst != kDefaultRetryBurst) {
+    json["retryBurst"] = aService.mRetryBurst;
+  }
   return json.dump();
 }
 
--- a/src/Document.h
+++ b/src/Document.h
@@ -48,6 +48,8 @@
   unsigned mGuaranteedPercent = 5;
   /** Repeated sends, in percent of the requests. */
   unsigned mRetryPercent = 10;
+  /** Repeated sends that may come at once, beyond that share. */
+  unsigned mRetryBurst = 30;
   LogOffset mVersion = 0;
 };
 
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -21,6 +21,10 @@
 constexpr Duration kLeavingTime = milliseconds(2300);
 constexpr Duration kLongestLeavingTime = std::chrono::minutes(10);
 
+/** The part of the burst of repeated sends that a new scheduler may give out at
+ * once: schedules move several times in a few seconds when VMs are replaced. */
+constexpr double kNewRetryShare = 1.0 / 3;
+
 /** Documents change rarely and have to be in force within two seconds. */
 FeedSettings
 DocumentFeed()
@@ -103,6 +107,8 @@
                  aService.mName, aState.mIdentity.mSelf, epoch, aNow))
       .first->second;
   scheduler.mPool.mFloorPercent = aService.mFloorPercent;
+  // It does not know what its predecessor has given out.
+  scheduler.mRetryTokens = aService.mRetryBurst * kNewRetryShare;
   if (aState.mHasVms) {
     UpdatePool(scheduler.mPool, aNow, aService.mVmGroup, aState.mVms);
   }
--- a/src/NodeRuntime.cpp
+++ b/src/NodeRuntime.cpp
@@ -48,7 +48,7 @@
 }
 
 NodeIdentity
-IdentityOf(const Settings& aSettings, ConfigSource aSource)
+IdentityOf(const Settings& aSettings, const PlatformAdapter& aAdapter)
 {
   NodeIdentity identity;
   identity.mSelf = NodeId(FormatEndpoint(aSettings.mPeer));
@@ -60,10 +60,10 @@
   identity.mIncarnation = static_cast<std::uint64_t>(
     std::chrono::duration_cast<milliseconds>(wall).count());
   identity.mSeed = Hash64(identity.mSelf.mValue, identity.mIncarnation);
-  identity.mSource = aSource;
+  identity.mSource = aAdapter.mConfigSource;
   identity.mCorePercent = aSettings.mCorePercent;
   identity.mChoosesAlone = aSettings.mChoosesAlone;
-  identity.mStopWithin = aSettings.mStopWithin;
+  identity.mStopWithin = aAdapter.mStopWithin.value_or(aSettings.mStopWithin);
   for (const Endpoint& it : aSettings.mSeeds) {
     identity.mSeeds.emplace_back(
       FormatEndpoint({ it.mHost, aSettings.mPeer.mPort }));
@@ -102,8 +102,7 @@
     : mSettings(aSettings)
     , mAdapter(std::move(aAdapter))
     , mReload(std::move(aReload))
-    , mState(
-        NodeState::Make(IdentityOf(aSettings, mAdapter.mConfigSource), Now()))
+    , mState(NodeState::Make(IdentityOf(aSettings, mAdapter), Now()))
     , mLog(EventLog::Make({ mState.mIdentity.mSelf.mValue,
                             aSettings.mZone.mValue,
                             mState.mIdentity.mIncarnation },
@@ -246,8 +245,9 @@
    */
   bool IsAtEnd() const
   {
-    return mState.mIsStopping && mSettings.mStopWithin > Duration(0) &&
-           Now() - mState.mStoppingSince >= mSettings.mStopWithin - kExitMargin;
+    Duration stopWithin = mState.mIdentity.mStopWithin;
+    return mState.mIsStopping && stopWithin > Duration(0) &&
+           Now() - mState.mStoppingSince >= stopWithin - kExitMargin;
   }
 
   /** Ends the loop when the core has stopped and its answers are on their way.
@@ -376,7 +376,7 @@
             " admin=" + FormatEndpoint(mSettings.mAdmin) +
             " platform=" + FormatEndpoint(mSettings.mPlatform) + " seeds=" +
             std::to_string(mSettings.mSeeds.size()) + " stop_within_ms=" +
-            std::to_string(mSettings.mStopWithin / milliseconds(1)) +
+            std::to_string(mState.mIdentity.mStopWithin / milliseconds(1)) +
             " placement=" + (mSettings.mChoosesAlone ? "alone" : "lease") +
             " core_percent=" + std::to_string(mSettings.mCorePercent) +
             " max_callers=" + std::to_string(mSettings.mMaxCallers));
--- a/src/PlatformPort.h
+++ b/src/PlatformPort.h
@@ -26,6 +26,9 @@
   CallerDialect mCallers;
   TargetDialect mTargets;
   ConfigSource mConfigSource = ConfigSource::ChangeStream;
+  /** How long after SIGTERM the platform ends a process; goes before the
+   * setting. */
+  std::optional<Duration> mStopWithin;
   /** Opens the port. aPost takes the events in which calls end; the loop must
    * outlive the port. */
   std::function<PlatformPort(boost::asio::io_context& aLoop,
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -30,8 +30,6 @@
 constexpr int kPatiencePercent = 9;
 /** A request whose intent is written needs time to have it ended. */
 constexpr int kIntentPatiencePercent = 6;
-/** Two schedulers that know nothing of each other may save up so much. */
-constexpr double kMostRetryTokens = 30;
 /** Work that may not be repeated waits so much of its patience for a target
  * that is trusted. */
 constexpr int kTrustPatiencePercent = 50;
@@ -263,8 +261,9 @@
   aState.mLeases.emplace(id, std::move(lease));
   ++aState.mCounters.mGrants;
   if (!request.mIsRetry) {
-    aState.mRetryTokens = std::min(
-      aState.mRetryTokens + aSettings.mRetryPercent / 100.0, kMostRetryTokens);
+    aState.mRetryTokens =
+      std::min<double>(aState.mRetryTokens + aSettings.mRetryPercent / 100.0,
+                       aSettings.mRetryBurst);
   }
 }
 
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -112,6 +112,13 @@
   return aText.empty() || TakeEndpoint(&Settings::mReady)(aSettings, aText);
 }
 
+bool
+TakeTerms(Settings& aSettings, const std::string& aText)
+{
+  aSettings.mPlatformTerms = aText;
+  return true;
+}
+
 bool
 TakePlatformApi(Settings& aSettings, const std::string& aText)
 {
@@ -208,6 +215,11 @@
       "the interface that the platform speaks",
       "log or store",
       TakePlatformApi },
+    { "platform-terms",
+      "",
+      "what the platform promises and asks, as its adapter reads it",
+      "name=value texts with commas between them",
+      TakeTerms },
     { "seeds",
       "",
       "addresses of other proxies; this node's peer port is put for theirs",
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -39,6 +39,8 @@
   Endpoint mReady;
   Endpoint mPlatform;
   PlatformApi mPlatformApi = PlatformApi::Log;
+  /** What the platform promises and asks, for its adapter to read. */
+  std::string mPlatformTerms;
   /** Hosts of other proxies; their ports are this node's peer port. */
   std::vector<Endpoint> mSeeds;
   /** A process that was told to stop is ended after so long; 0 for never. */
--- a/test/correctness/StoreIsTranslated.cpp
+++ b/test/correctness/StoreIsTranslated.cpp
@@ -47,7 +47,7 @@
 
 TEST(Store, ConfigurationsBecomeDocuments)
 {
-  auto document = TranslateConfig(kConfig, "production");
+  auto document = TranslateConfig(kConfig, "production", {});
   CHECK(document.has_value());
   LONGS_EQUAL(12, document->mRevision);
   const Route& unsafe = document->mRoutes.at(RouteName("r-1"));
@@ -65,7 +65,7 @@
 
 TEST(Store, DocumentsReadBackAsTheyWereWritten)
 {
-  auto document = TranslateConfig(kConfig, "production");
+  auto document = TranslateConfig(kConfig, "production", {});
   std::string text = FormatDocument(*document);
   auto again = ParseDocument(text);
   CHECK(again.has_value());
@@ -75,7 +75,7 @@
 TEST(Store, RoutesAreFoundByHostAndPrefix)
 {
   ConfigState state;
-  CHECK(ReplaceDocument(state, *TranslateConfig(kConfig, "production"), 0));
+  CHECK(ReplaceDocument(state, *TranslateConfig(kConfig, "production", {}), 0));
   const Route* route = FindRoute(state, "PUT", "/pufi/2f?x=/a", "FICU.example");
   CHECK(route != nullptr);
   STRCMP_EQUAL("r-1", route->mName.mValue.c_str());
@@ -86,7 +86,7 @@
 TEST(Store, OnlyNewerConfigurationsTakeHold)
 {
   ConfigState state;
-  auto document = TranslateConfig(kConfig, "production");
+  auto document = TranslateConfig(kConfig, "production", {});
   CHECK(ReplaceDocument(state, *document, 5));
   document->mRevision = 11;
   CHECK(!ReplaceDocument(state, *document, 6));
@@ -107,7 +107,7 @@
          text.substr(0, text.size() / 2),
          std::string("\xff\xfe"),
          std::string() }) {
-    CHECK_TEXT(!TranslateConfig(it, "production"), it.c_str());
+    CHECK_TEXT(!TranslateConfig(it, "production", {}), it.c_str());
   }
 }
 
@@ -162,3 +162,38 @@
   CHECK(!ParsePage("{}"));
   CHECK(!ParsePage("junk"));
 }
+
+TEST(Store, GivesTheTermsOfTheDeploymentToEachService)
+{
+  PlatformTerms terms = ParseTerms(
+    "seed_lag_s=3,grace_s=4.5,retry_budget_ratio=0.1,budget_slack=40,"
+    "min_share=0.65");
+  CHECK(terms.mStopWithin == std::chrono::milliseconds(4500));
+  auto document = TranslateConfig(kConfig, "production", terms);
+  CHECK(document.has_value());
+  CHECK(!document->mServices.empty());
+  for (const auto& [name, service] : document->mServices) {
+    LONGS_EQUAL(65, service.mFloorPercent);
+    LONGS_EQUAL(9, service.mRetryPercent);
+    LONGS_EQUAL(20, service.mRetryBurst);
+  }
+}
+
+TEST(Store, KeepsTheDefaultForTermsThatCannotBeRead)
+{
+  const PlatformTerms defaults;
+  for (const char* it : { "",
+                          "grace_s",
+                          "grace_s=",
+                          "grace_s=-1",
+                          "grace_s=six",
+                          "grace_s=6,,min_share=2",
+                          "retry_budget_ratio=nan",
+                          "budget_slack=1e9" }) {
+    PlatformTerms terms = ParseTerms(it);
+    CHECK_TEXT(terms.mStopWithin == defaults.mStopWithin, it);
+    LONGS_EQUAL(defaults.mFloorPercent, terms.mFloorPercent);
+    LONGS_EQUAL(defaults.mRetryPercent, terms.mRetryPercent);
+    LONGS_EQUAL(defaults.mRetryBurst, terms.mRetryBurst);
+  }
+}
