Let starting nodes copy feeds from their seeds at the fleet's first start

Ruled out: the same at every start. Change: with first-start, nodes that are no seeds ask peers, of their own zone if there are any, and read the store only after 1.2 s without a copy.

--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -40,6 +40,14 @@
   return aState.mRank;
 }
 
+std::vector<NodeId>
+Others(std::vector<NodeId> aMembers, const NodeId& aSelf)
+{
+  aMembers.erase(std::remove(aMembers.begin(), aMembers.end(), aSelf),
+                 aMembers.end());
+  return aMembers;
+}
+
 void
 StartRead(KeyedFeedState& aState, const FeedContext& aContext)
 {
@@ -60,7 +68,7 @@
     return false;
   }
   if (!aState.mIsLoaded) {
-    return true;
+    return aContext.mNow - aState.mStartedAt >= aState.mSettings.mJoinPatience;
   }
   std::size_t rank = RankOf(aState, aContext.mMembers);
   Duration stale = aContext.mNow - aState.mFreshAt;
@@ -68,18 +76,22 @@
                                  kSuccessorStep * static_cast<int>(rank - 1);
 }
 
-/** Asks a peer while the store does not answer. */
+/** Asks a peer, of the same zone if there is one, while the node has no copy.
+ */
 void
 PullIfLacking(KeyedFeedState& aState, const FeedContext& aContext)
 {
   if (aState.mIsLoaded || aContext.mNow < aState.mNextPullAt) {
     return;
   }
-  aState.mNextPullAt = aContext.mNow + kPullInterval;
-  std::vector<NodeId> peers = LiveMembers(aContext.mMembers);
-  peers.erase(std::remove(peers.begin(), peers.end(), aContext.mMembers.mSelf),
-              peers.end());
+  const MembersState& members = aContext.mMembers;
+  std::vector<NodeId> peers =
+    Others(LiveMembersIn(members, members.mZone), members.mSelf);
+  if (peers.empty()) {
+    peers = Others(LiveMembers(members), members.mSelf);
+  }
   if (!peers.empty()) {
+    aState.mNextPullAt = aContext.mNow + kPullInterval;
     const NodeId& peer = peers[RandomBelow(aContext.mRandom, peers.size())];
     aContext.mEffects.push_back(
       SendPeer{ peer, FeedPull{ aState.mSettings.mTopic, aState.mEnd } });
@@ -220,6 +232,7 @@
 {
   KeyedFeedState state;
   state.mSettings = std::move(aSettings);
+  state.mStartedAt = aNow;
   state.mFreshAt = aNow;
   return state;
 }
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -16,6 +16,8 @@
   Duration mPace{ 0 };
   /** How long a read waits at the store for a record to come. */
   Duration mWait{ 0 };
+  /** How long a node that starts leaves the store alone and asks its peers. */
+  Duration mJoinPatience{ 0 };
   /** Without news of the store for so long, a node reads it itself. */
   Duration mStaleAfter{ 0 };
   /** How long entries that vanished while the store was away stay in use after
@@ -26,10 +28,9 @@
 /** A node's copy of a keyed topic of the platform's store.
  *
  * One node of each zone reads the store, at a pace that bounds the calls, and
- * passes on to its zone what has changed, or that nothing has. A node that does
- * not hear that its copy is fresh reads for itself, the likelier successors
- * first, so that no failure of a reader, or of its path to the store, leaves
- * the others behind for longer than mStaleAfter and a little. */
+ * passes on to its zone what has changed, or that nothing has. A node
+ * may be told to ask its peers first: a whole copy takes several calls, and all
+ * nodes start at once. */
 struct KeyedFeedState
 {
   FeedSettings mSettings;
@@ -37,6 +38,7 @@
   /** All records before this offset are folded. */
   LogOffset mEnd = 0;
   bool mIsLoaded = false;
+  TimePoint mStartedAt{};
   /** The copy was what the store held at this time. */
   TimePoint mFreshAt{};
   bool mIsReading = false;
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kVmListInterval = seconds(1);
 /** While the list is empty the node can serve nobody. */
 constexpr Duration kEmptyVmListInterval = milliseconds(100);
+constexpr Duration kJoinPatience = milliseconds(1200);
 constexpr Duration kIdleSchedulerTime = seconds(5);
 /** Long enough for the fleet to learn that a node is leaving, and for a
  * balancer that asks each second to miss two answers. */
@@ -50,6 +51,19 @@
   return settings;
 }
 
+/** At the fleet's first start, seeds read the store and the others get their
+ * copies; nobody calls yet. At any later start each node reads at once, since
+ * callers wait for it. */
+Duration
+JoinPatience(const NodeIdentity& aIdentity)
+{
+  const auto& seeds = aIdentity.mSeeds;
+  bool readsAtOnce =
+    !aIdentity.mIsFirstStart || seeds.empty() ||
+    std::find(seeds.begin(), seeds.end(), aIdentity.mSelf) != seeds.end();
+  return readsAtOnce ? Duration(0) : kJoinPatience;
+}
+
 /** Whether what comes in now might not end before the process is ended. */
 bool
 RefusesNew(const NodeState& aState, TimePoint aNow)
@@ -517,7 +531,8 @@
   }
   SeedMembers(state.mMembers, aNow, seeds);
   if (aIdentity.mSource == ConfigSource::KeyedFeeds) {
-    for (const FeedSettings& it : { DocumentFeed(), TargetFeed() }) {
+    for (FeedSettings it : { DocumentFeed(), TargetFeed() }) {
+      it.mJoinPatience = JoinPatience(aIdentity);
       state.mFeeds.emplace(it.mTopic, KeyedFeedState::Make(it, aNow));
     }
   }
--- a/src/Node.h
+++ b/src/Node.h
@@ -45,6 +45,8 @@
   ConfigSource mSource = ConfigSource::ChangeStream;
   /** Other proxies that may be there already. */
   std::vector<NodeId> mSeeds;
+  /** The whole fleet starts for the first time. */
+  bool mIsFirstStart = false;
   /** The process has to be gone this long after it was told to stop; 0 where
    * nobody will end it. */
   Duration mStopWithin{ 0 };
--- a/src/NodeRuntime.cpp
+++ b/src/NodeRuntime.cpp
@@ -61,6 +61,7 @@
     std::chrono::duration_cast<milliseconds>(wall).count());
   identity.mSeed = Hash64(identity.mSelf.mValue, identity.mIncarnation);
   identity.mSource = aAdapter.mConfigSource;
+  identity.mIsFirstStart = aSettings.mIsFirstStart;
   identity.mCorePercent = aSettings.mCorePercent;
   identity.mChoosesAlone = aSettings.mChoosesAlone;
   identity.mStopWithin = aAdapter.mStopWithin.value_or(aSettings.mStopWithin);
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -127,6 +127,13 @@
   return aText == "store" || aText == "log";
 }
 
+bool
+TakeFirstStart(Settings& aSettings, const std::string& aText)
+{
+  aSettings.mIsFirstStart = aText == "true";
+  return aText == "true" || aText == "false";
+}
+
 bool
 TakePlacement(Settings& aSettings, const std::string& aText)
 {
@@ -231,6 +238,12 @@
       "takes",
       "a number from 0 to 600000",
       TakeStopWithin },
+    { "first-start",
+      "false",
+      "whether the whole fleet starts for the first time, so that nobody calls "
+      "yet and nodes can leave the platform to their seeds",
+      "true or false",
+      TakeFirstStart },
     { "placement",
       "lease",
       "whether slots are leased from a service's scheduler or each proxy "
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -50,6 +50,8 @@
   std::string mVmGroup;
   std::size_t mMaxBodyBytes = 0;
   unsigned mMaxCallers = 0;
+  /** The whole fleet starts for the first time: nobody calls yet. */
+  bool mIsFirstStart = false;
   /** Choose targets locally, without schedulers. */
   bool mChoosesAlone = false;
   /** The processor share that the VM grants, in percent of a core. */
--- a/test/correctness/FeedsAreFollowed.cpp
+++ b/test/correctness/FeedsAreFollowed.cpp
@@ -194,3 +194,34 @@
   CHECK(reads >= 5);
   CHECK(reads <= 25);
 }
+
+/** 92 nodes that start at once took four calls each for a whole copy. */
+TEST(Feeds, ComeFromAPeerAtTheStart)
+{
+  Follower node;
+  node.mFeed.mSettings.mJoinPatience = milliseconds(1200);
+  Ping ping;
+  ping.mUpdates.push_back({ NodeId("10.0.0.2:1"), ZoneName("z"), 1, {}, 0 });
+  Effects effects;
+  MembersReceive(node.mMembers, kStart, NodeId("10.0.0.2:1"), ping, effects);
+  effects = node.Tick(kStart + milliseconds(20));
+  LONGS_EQUAL(0, CountReads(effects));
+  LONGS_EQUAL(1, effects.size());
+  CHECK(std::get<SendPeer>(effects.front()).mTo == NodeId("10.0.0.2:1"));
+  node.Push(kStart + milliseconds(30),
+            { "targets", 0, 7, true, Duration(0), { { "a", 3, "A" } } });
+  CHECK(node.mFeed.mIsLoaded);
+  // Where it is the zone's reader it goes on from the copy's end.
+  for (const Effect& it : node.Tick(kStart + milliseconds(40))) {
+    const auto* read = std::get_if<ReadFeed>(&it);
+    CHECK(!read || !read->mIsWhole);
+  }
+}
+
+TEST(Feeds, AreReadFromTheStoreWhereNoPeerHasThem)
+{
+  Follower node;
+  node.mFeed.mSettings.mJoinPatience = milliseconds(1200);
+  LONGS_EQUAL(0, CountReads(node.Tick(kStart + milliseconds(1190))));
+  LONGS_EQUAL(1, CountReads(node.Tick(kStart + milliseconds(1200))));
+}
