Split the scheduler and the proxy by decision

Change: SchedulerAdmission (who waits, who is refused), SchedulerPlacement (who gets which slot), SchedulerEvidence (what is learnt), ProxyEndings (what callers are told) and ProxyKeys (keyed requests); each header states its load pattern. No decision changes; all unit tests pass before and after.

--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -1,6 +1,7 @@
 #include "Proxy.h"
 
 #include "ProxyAdmission.h"
+#include "ProxyEndings.h"
 #include "ProxyIntents.h"
 #include "ProxyLeases.h"
 #include "ProxyLog.h"
@@ -19,96 +20,6 @@
 /** Where the route states a goal: the other half is left for the work. */
 constexpr int kLocalGoalDivisor = 2;
 
-ProxyRequest*
-FindRequest(ProxyState& aState, RequestId aId)
-{
-  auto it = aState.mRequests.find(aId);
-  return it == aState.mRequests.end() ? nullptr : &it->second;
-}
-
-void
-CountOutcome(ProxyState& aState, RunOutcome aOutcome)
-{
-  switch (aOutcome) {
-    case RunOutcome::NotRun:
-      ++aState.mCounters.mNotRun;
-      return;
-    case RunOutcome::Ran:
-      ++aState.mCounters.mAnswered;
-      return;
-    case RunOutcome::Unknown:
-      ++aState.mCounters.mUnknown;
-      return;
-  }
-}
-
-/** Answers a request's caller and forgets the request. */
-void
-Finish(ProxyState& aState,
-       const ProxyContext& aContext,
-       RequestId aId,
-       const Verdict& aVerdict,
-       std::shared_ptr<const Answer> aAnswer = nullptr)
-{
-  auto it = aState.mRequests.find(aId);
-  const ProxyRequest& request = it->second;
-  auto running = aState.mRunningKeys.find(request.mKey);
-  if (running != aState.mRunningKeys.end() && running->second == aId) {
-    aState.mRunningKeys.erase(running);
-  }
-  if (!request.mIsCallerGone) {
-    CountOutcome(aState, aVerdict.mOutcome);
-  }
-  LogEnd(aContext, request, aVerdict, aAnswer.get());
-  // A caller that has gone is answered too: that ends what the shell holds.
-  aContext.mEffects.push_back(
-    AnswerCaller{ aId, aVerdict, std::move(aAnswer) });
-  aState.mRequests.erase(it);
-}
-
-/** Ends a request that was not served: says "not run" where that is sure and
- * can be kept so, else "unknown". */
-void
-EndUnserved(ProxyState& aState,
-            const ProxyContext& aContext,
-            ProxyRequest& aRequest,
-            Verdict aVerdict)
-{
-  if (aRequest.mMayHaveRun) {
-    if (aRequest.mErrorAnswer) {
-      Finish(aState,
-             aContext,
-             aRequest.mId,
-             { aRequest.mErrorAnswer->mStatus,
-               RunOutcome::Unknown,
-               kReasonTargetError },
-             aRequest.mErrorAnswer);
-      return;
-    }
-    Finish(aState,
-           aContext,
-           aRequest.mId,
-           { kStatusBadGateway, RunOutcome::Unknown, kReasonTargetBroke });
-    return;
-  }
-  if (!aRequest.mNeedsIntent) {
-    Finish(aState, aContext, aRequest.mId, aVerdict);
-    return;
-  }
-  if (aRequest.mIsIntentAsked && aContext.mNow < aRequest.mDeadlineAt) {
-    EndIntent(aState, aContext, aRequest, aVerdict);
-    return;
-  }
-  if (aRequest.mIsIntentAsked) {
-    AbandonIntent(aState, aContext, aRequest);
-    aVerdict.mOutcome = RunOutcome::Unknown;
-  } else if (!aRequest.mIsFirstAttempt) {
-    // An earlier send of the key may have run; the log was not asked.
-    aVerdict.mOutcome = RunOutcome::Unknown;
-  }
-  Finish(aState, aContext, aRequest.mId, aVerdict);
-}
-
 bool
 MayRetry(const ProxyContext& aContext, const ProxyRequest& aRequest)
 {
@@ -126,22 +37,6 @@
   AskForLease(aState, aContext, aRequest);
 }
 
-void
-PassOn(ProxyState& aState,
-       const ProxyContext& aContext,
-       const ProxyRequest& aRequest,
-       const std::shared_ptr<const Answer>& aAnswer)
-{
-  if (!aRequest.mKey.mValue.empty()) {
-    Keep(aState.mKept, aRequest.mKey, aAnswer);
-  }
-  Finish(aState,
-         aContext,
-         aRequest.mId,
-         { aAnswer->mStatus, RunOutcome::Ran, kReasonAnswered },
-         aAnswer);
-}
-
 /** Handles a send that the target surely did not run. */
 void
 HandleNotRun(ProxyState& aState,
@@ -172,61 +67,6 @@
   EndUnserved(aState, aContext, aRequest, {});
 }
 
-struct DecisionHandler
-{
-  ProxyState& mState;
-  const ProxyContext& mContext;
-  ProxyRequest& mRequest;
-
-  void Conclude(const IntentDecision& aDecision)
-  {
-    switch (aDecision.mState) {
-      case IntentState::Won:
-        mState.mRunningKeys[mRequest.mKey] = mRequest.mId;
-        AskForLease(mState, mContext, mRequest);
-        return;
-      case IntentState::Lost:
-        mRequest.mKeyOwner = aDecision.mWinner;
-        mRequest.mIsIntentAsked = false;
-        AskForKeptAnswer(mContext, mRequest);
-        return;
-      case IntentState::KeyReused:
-        Finish(mState,
-               mContext,
-               mRequest.mId,
-               { kStatusUnprocessable, RunOutcome::NotRun, kReasonKeyReused });
-        return;
-      case IntentState::TooOld:
-        Finish(mState,
-               mContext,
-               mRequest.mId,
-               { kStatusConflict, RunOutcome::Unknown, kReasonKeyTooOld });
-        return;
-      case IntentState::LogAway:
-        ConcludeLogAway();
-        return;
-      case IntentState::Killed:
-        Finish(mState,
-               mContext,
-               mRequest.mId,
-               { kStatusConflict, RunOutcome::NotRun, kReasonKeyEnded });
-        return;
-    }
-  }
-
-  void ConcludeLogAway()
-  {
-    if (mRequest.mIsIntentAskedTwice) {
-      AbandonIntent(mState, mContext, mRequest);
-    }
-    mRequest.mIsIntentAsked = false;
-    EndUnserved(mState,
-                mContext,
-                mRequest,
-                { kStatusUnavailable, RunOutcome::NotRun, kReasonLogAway });
-  }
-};
-
 /** Ends a request whose deadline has passed in the stage it is in. */
 void
 EndLate(ProxyState& aState,
@@ -492,79 +332,6 @@
   }
 }
 
-void
-ProxyReceive(ProxyState& aState,
-             const ProxyContext& aContext,
-             const NodeId& /*aFrom*/,
-             const IntentDecision& aDecision)
-{
-  if (aDecision.mState == IntentState::Killed ||
-      aDecision.mState == IntentState::Lost) {
-    aState.mAbandoned.erase(aDecision.mRequest);
-  }
-  ProxyRequest* request = FindRequest(aState, aDecision.mRequest);
-  if (!request) {
-    return;
-  }
-  bool isEnding = request->mStage == RequestStage::EndingIntent;
-  if (isEnding && aDecision.mState == IntentState::Killed) {
-    Finish(aState, aContext, request->mId, request->mFinalVerdict);
-  } else if (isEnding && aDecision.mState == IntentState::Lost) {
-    // Another send of the key won before this one could be ended.
-    Finish(aState,
-           aContext,
-           request->mId,
-           { kStatusConflict, RunOutcome::Unknown, kReasonOutcomeUnknown });
-  } else if (request->mStage == RequestStage::AwaitingIntent) {
-    DecisionHandler{ aState, aContext, *request }.Conclude(aDecision);
-  }
-}
-
-void
-ProxyReceive(ProxyState& aState,
-             const ProxyContext& aContext,
-             const NodeId& aFrom,
-             const KeptAnswerQuery& aQuery)
-{
-  KeptAnswerReply reply;
-  reply.mRequest = aQuery.mRequest;
-  if (auto kept = FindKept(aState.mKept, aQuery.mKey)) {
-    reply.mState = KeptState::Kept;
-    reply.mAnswer = *kept;
-  } else if (aState.mRunningKeys.count(aQuery.mKey) > 0) {
-    reply.mState = KeptState::Running;
-  }
-  aContext.mEffects.push_back(SendPeer{ aFrom, std::move(reply) });
-}
-
-void
-ProxyReceive(ProxyState& aState,
-             const ProxyContext& aContext,
-             const NodeId& aFrom,
-             const KeptAnswerReply& aReply)
-{
-  ProxyRequest* request = FindRequest(aState, aReply.mRequest);
-  bool isAwaited = request &&
-                   request->mStage == RequestStage::AwaitingKeptAnswer &&
-                   request->mAskedNode == aFrom;
-  if (!isAwaited || aReply.mState == KeptState::Running) {
-    return;
-  }
-  if (aReply.mState == KeptState::Kept) {
-    auto answer = std::make_shared<const Answer>(aReply.mAnswer);
-    Finish(aState,
-           aContext,
-           request->mId,
-           { answer->mStatus, RunOutcome::Ran, kReasonAnswered },
-           answer);
-    return;
-  }
-  Finish(aState,
-         aContext,
-         request->mId,
-         { kStatusConflict, RunOutcome::Unknown, kReasonOutcomeUnknown });
-}
-
 void
 ProxyTick(ProxyState& aState, const ProxyContext& aContext)
 {
--- /dev/null
+++ b/src/ProxyEndings.cpp
@@ -0,0 +1,112 @@
+#include "ProxyEndings.h"
+
+#include "ProxyIntents.h"
+#include "ProxyLog.h"
+#include "ProxyVerdicts.h"
+
+namespace vanillascale {
+
+ProxyRequest*
+FindRequest(ProxyState& aState, RequestId aId)
+{
+  auto it = aState.mRequests.find(aId);
+  return it == aState.mRequests.end() ? nullptr : &it->second;
+}
+
+void
+CountOutcome(ProxyState& aState, RunOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case RunOutcome::NotRun:
+      ++aState.mCounters.mNotRun;
+      return;
+    case RunOutcome::Ran:
+      ++aState.mCounters.mAnswered;
+      return;
+    case RunOutcome::Unknown:
+      ++aState.mCounters.mUnknown;
+      return;
+  }
+}
+
+void
+Finish(ProxyState& aState,
+       const ProxyContext& aContext,
+       RequestId aId,
+       const Verdict& aVerdict,
+       std::shared_ptr<const Answer> aAnswer)
+{
+  auto it = aState.mRequests.find(aId);
+  const ProxyRequest& request = it->second;
+  auto running = aState.mRunningKeys.find(request.mKey);
+  if (running != aState.mRunningKeys.end() && running->second == aId) {
+    aState.mRunningKeys.erase(running);
+  }
+  if (!request.mIsCallerGone) {
+    CountOutcome(aState, aVerdict.mOutcome);
+  }
+  LogEnd(aContext, request, aVerdict, aAnswer.get());
+  // A caller that has gone is answered too: that ends what the shell holds.
+  aContext.mEffects.push_back(
+    AnswerCaller{ aId, aVerdict, std::move(aAnswer) });
+  aState.mRequests.erase(it);
+}
+
+void
+EndUnserved(ProxyState& aState,
+            const ProxyContext& aContext,
+            ProxyRequest& aRequest,
+            Verdict aVerdict)
+{
+  if (aRequest.mMayHaveRun) {
+    if (aRequest.mErrorAnswer) {
+      Finish(aState,
+             aContext,
+             aRequest.mId,
+             { aRequest.mErrorAnswer->mStatus,
+               RunOutcome::Unknown,
+               kReasonTargetError },
+             aRequest.mErrorAnswer);
+      return;
+    }
+    Finish(aState,
+           aContext,
+           aRequest.mId,
+           { kStatusBadGateway, RunOutcome::Unknown, kReasonTargetBroke });
+    return;
+  }
+  if (!aRequest.mNeedsIntent) {
+    Finish(aState, aContext, aRequest.mId, aVerdict);
+    return;
+  }
+  if (aRequest.mIsIntentAsked && aContext.mNow < aRequest.mDeadlineAt) {
+    EndIntent(aState, aContext, aRequest, aVerdict);
+    return;
+  }
+  if (aRequest.mIsIntentAsked) {
+    AbandonIntent(aState, aContext, aRequest);
+    aVerdict.mOutcome = RunOutcome::Unknown;
+  } else if (!aRequest.mIsFirstAttempt) {
+    // An earlier send of the key may have run; the log was not asked.
+    aVerdict.mOutcome = RunOutcome::Unknown;
+  }
+  Finish(aState, aContext, aRequest.mId, aVerdict);
+}
+
+void
+PassOn(ProxyState& aState,
+       const ProxyContext& aContext,
+       const ProxyRequest& aRequest,
+       const std::shared_ptr<const Answer>& aAnswer)
+{
+  if (!aRequest.mKey.mValue.empty()) {
+    Keep(aState.mKept, aRequest.mKey, aAnswer);
+  }
+  Finish(aState,
+         aContext,
+         aRequest.mId,
+         { aAnswer->mStatus, RunOutcome::Ran, kReasonAnswered },
+         aAnswer);
+}
+
+} // namespace vanillascale
--- /dev/null
+++ b/src/ProxyKeys.cpp
@@ -0,0 +1,143 @@
+#include "Proxy.h"
+
+#include "ProxyEndings.h"
+#include "ProxyIntents.h"
+#include "ProxyLeases.h"
+#include "ProxyVerdicts.h"
+
+/** The messages about keyed requests: who owns a key, and what became of it. */
+namespace vanillascale {
+
+namespace {
+
+struct DecisionHandler
+{
+  ProxyState& mState;
+  const ProxyContext& mContext;
+  ProxyRequest& mRequest;
+
+  void Conclude(const IntentDecision& aDecision)
+  {
+    switch (aDecision.mState) {
+      case IntentState::Won:
+        mState.mRunningKeys[mRequest.mKey] = mRequest.mId;
+        AskForLease(mState, mContext, mRequest);
+        return;
+      case IntentState::Lost:
+        mRequest.mKeyOwner = aDecision.mWinner;
+        mRequest.mIsIntentAsked = false;
+        AskForKeptAnswer(mContext, mRequest);
+        return;
+      case IntentState::KeyReused:
+        Finish(mState,
+               mContext,
+               mRequest.mId,
+               { kStatusUnprocessable, RunOutcome::NotRun, kReasonKeyReused });
+        return;
+      case IntentState::TooOld:
+        Finish(mState,
+               mContext,
+               mRequest.mId,
+               { kStatusConflict, RunOutcome::Unknown, kReasonKeyTooOld });
+        return;
+      case IntentState::LogAway:
+        ConcludeLogAway();
+        return;
+      case IntentState::Killed:
+        Finish(mState,
+               mContext,
+               mRequest.mId,
+               { kStatusConflict, RunOutcome::NotRun, kReasonKeyEnded });
+        return;
+    }
+  }
+
+  void ConcludeLogAway()
+  {
+    if (mRequest.mIsIntentAskedTwice) {
+      AbandonIntent(mState, mContext, mRequest);
+    }
+    mRequest.mIsIntentAsked = false;
+    EndUnserved(mState,
+                mContext,
+                mRequest,
+                { kStatusUnavailable, RunOutcome::NotRun, kReasonLogAway });
+  }
+};
+
+} // namespace
+
+void
+ProxyReceive(ProxyState& aState,
+             const ProxyContext& aContext,
+             const NodeId& /*aFrom*/,
+             const IntentDecision& aDecision)
+{
+  if (aDecision.mState == IntentState::Killed ||
+      aDecision.mState == IntentState::Lost) {
+    aState.mAbandoned.erase(aDecision.mRequest);
+  }
+  ProxyRequest* request = FindRequest(aState, aDecision.mRequest);
+  if (!request) {
+    return;
+  }
+  bool isEnding = request->mStage == RequestStage::EndingIntent;
+  if (isEnding && aDecision.mState == IntentState::Killed) {
+    Finish(aState, aContext, request->mId, request->mFinalVerdict);
+  } else if (isEnding && aDecision.mState == IntentState::Lost) {
+    // Another send of the key won before this one could be ended.
+    Finish(aState,
+           aContext,
+           request->mId,
+           { kStatusConflict, RunOutcome::Unknown, kReasonOutcomeUnknown });
+  } else if (request->mStage == RequestStage::AwaitingIntent) {
+    DecisionHandler{ aState, aContext, *request }.Conclude(aDecision);
+  }
+}
+
+void
+ProxyReceive(ProxyState& aState,
+             const ProxyContext& aContext,
+             const NodeId& aFrom,
+             const KeptAnswerQuery& aQuery)
+{
+  KeptAnswerReply reply;
+  reply.mRequest = aQuery.mRequest;
+  if (auto kept = FindKept(aState.mKept, aQuery.mKey)) {
+    reply.mState = KeptState::Kept;
+    reply.mAnswer = *kept;
+  } else if (aState.mRunningKeys.count(aQuery.mKey) > 0) {
+    reply.mState = KeptState::Running;
+  }
+  aContext.mEffects.push_back(SendPeer{ aFrom, std::move(reply) });
+}
+
+void
+ProxyReceive(ProxyState& aState,
+             const ProxyContext& aContext,
+             const NodeId& aFrom,
+             const KeptAnswerReply& aReply)
+{
+  ProxyRequest* request = FindRequest(aState, aReply.mRequest);
+  bool isAwaited = request &&
+                   request->mStage == RequestStage::AwaitingKeptAnswer &&
+                   request->mAskedNode == aFrom;
+  if (!isAwaited || aReply.mState == KeptState::Running) {
+    return;
+  }
+  if (aReply.mState == KeptState::Kept) {
+    auto answer = std::make_shared<const Answer>(aReply.mAnswer);
+    Finish(aState,
+           aContext,
+           request->mId,
+           { answer->mStatus, RunOutcome::Ran, kReasonAnswered },
+           answer);
+    return;
+  }
+  Finish(aState,
+         aContext,
+         request->mId,
+         { kStatusConflict, RunOutcome::Unknown, kReasonOutcomeUnknown });
+}
+
+} // namespace vanillascale
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -13,6 +13,10 @@
 
 namespace vanillascale {
 
+/** How long after its request's deadline a slot that nobody returned counts as
+ * taken: the deadline is kept by the proxy, whose report takes a moment. */
+constexpr Duration kExpiryMargin = std::chrono::seconds(1);
+
 /** A slot that is lent out. */
 struct ActiveLease
 {
@@ -153,10 +157,11 @@
 void
 ForgetHolder(SchedulerState& aState, const NodeId& aNode);
 
-/** Slots that are kept clear of long work: what short work was lately seen to
- * need and some more. Pure. */
-unsigned
-ReservedForShort(const SchedulerState& aState, TimePoint aNow);
+/** Frees the slot of a lease and returns what it was. Precondition: aIt is an
+ * entry of aState.mLeases. */
+ActiveLease
+EndLease(SchedulerState& aState,
+         std::unordered_map<LeaseId, ActiveLease>::iterator aIt);
 
 } // namespace vanillascale
 
--- /dev/null
+++ b/src/SchedulerAdmission.cpp
@@ -0,0 +1,147 @@
+#include "SchedulerAdmission.h"
+
+#include "EventNumbers.h"
+#include "SchedulerEvidence.h"
+#include "SchedulerPlacement.h"
+
+#include <algorithm>
+
+namespace vanillascale {
+
+namespace {
+
+constexpr int kPatiencePercent = 9;
+/** A request whose intent is written needs time to have it ended. */
+constexpr int kIntentPatiencePercent = 6;
+
+const char*
+ReasonName(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::Overload:
+      return "overload";
+    case RefusalReason::DeadlineTooShort:
+      return "deadline-too-short";
+    case RefusalReason::AccountLimit:
+      return "account-limit";
+    case RefusalReason::HarmfulRequest:
+      return "harmful-request";
+    case RefusalReason::RetryBudget:
+      return "retry-budget";
+    case RefusalReason::NoTarget:
+      return "no-target";
+  }
+  return "unknown";
+}
+
+/** Whether a request could not be served in time even if nothing more came in
+ * ahead of it. */
+bool
+IsHopeless(const SchedulerState& aState,
+           TimePoint aNow,
+           const LeaseRequest& aRequest,
+           Duration aPatience)
+{
+  if (aRequest.mIsLong) {
+    return false;
+  }
+  unsigned slots = std::max(OpenSlots(aState.mPool, aNow), 1U);
+  std::size_t ahead = CountUpTo(aState.mQueue, false, aRequest.mPriority);
+  Duration wait =
+    ExpectedTime(aState) * static_cast<int>(ahead) / static_cast<int>(slots);
+  return wait > aPatience;
+}
+
+Duration
+MeanTimeOf(const SchedulerState& aState, std::uint32_t aRoute)
+{
+  auto it = aState.mBaselines.find(aRoute);
+  return it == aState.mBaselines.end() ? Duration(0) : it->second.mMean;
+}
+
+} // namespace
+
+Duration
+PatienceFor(const SchedulerState& aState, const LeaseRequest& aRequest)
+{
+  int percent =
+    aRequest.mIsIdempotent ? kPatiencePercent : kIntentPatiencePercent;
+  Duration least = aRequest.mDeadline * percent / 100;
+  if (aRequest.mGoal == Duration(0)) {
+    return least;
+  }
+  Duration work = MeanTimeOf(aState, aRequest.mRoute);
+  return std::max(std::min(aRequest.mGoal, aRequest.mDeadline) - work, least);
+}
+
+std::optional<RefusalReason>
+FindRefusal(SchedulerState& aState,
+            TimePoint aNow,
+            const Service& aSettings,
+            const LeaseRequest& aRequest)
+{
+  if (IsHarmful(aState.mHarmful, aNow, aRequest.mFingerprint)) {
+    return RefusalReason::HarmfulRequest;
+  }
+  if (aRequest.mDeadline <= Duration(0)) {
+    return RefusalReason::DeadlineTooShort;
+  }
+  if (aRequest.mIsRetry) {
+    if (aState.mRetryTokens < 1) {
+      return RefusalReason::RetryBudget;
+    }
+    aState.mRetryTokens -= 1;
+    ++aState.mCounters.mRetries;
+    return std::nullopt;
+  }
+  if (!TakeAccountToken(
+        aState.mAccounts, aNow, aRequest.mAccount, aSettings.mAccountLimit)) {
+    return RefusalReason::AccountLimit;
+  }
+  if (IsHopeless(aState, aNow, aRequest, PatienceFor(aState, aRequest))) {
+    return RefusalReason::Overload;
+  }
+  return std::nullopt;
+}
+
+void
+Refuse(SchedulerState& aState,
+       TimePoint aNow,
+       const NodeId& aProxy,
+       const LeaseRequest& aRequest,
+       RefusalReason aReason,
+       Effects& aEffects)
+{
+  ++aState.mCounters.mRefusals[static_cast<std::size_t>(aReason)];
+  if (aReason == RefusalReason::Overload ||
+      aReason == RefusalReason::NoTarget) {
+    CountLately(aState, aNow, false);
+  }
+  aEffects.push_back(WriteEvent{
+    kEventSlotRefused,
+    "request=" + aRequest.mName + " service=" + aState.mService.mValue +
+      " reason=" + ReasonName(aReason) + " asked_by=" + aProxy.mValue +
+      " queued=" + std::to_string(aState.mQueue.mEntries.size()) +
+      " open_slots=" + std::to_string(OpenSlots(aState.mPool, aNow)) +
+      " leases=" + std::to_string(aState.mLeases.size()) +
+      " retry_tokens=" + std::to_string(aState.mRetryTokens) });
+  aEffects.push_back(
+    SendPeer{ aProxy, LeaseRefusal{ aRequest.mRequest, aReason } });
+}
+
+void
+RefuseImpatient(SchedulerState& aState, TimePoint aNow, Effects& aEffects)
+{
+  bool hasTargets = UsableSlots(aState.mPool, aNow) > 0;
+  for (const QueueKey& it : Impatient(aState.mQueue, aNow)) {
+    WaitingLease waiting = Dequeue(aState.mQueue, it);
+    Refuse(aState,
+           aNow,
+           waiting.mProxy,
+           waiting.mRequest,
+           hasTargets ? RefusalReason::Overload : RefusalReason::NoTarget,
+           aEffects);
+  }
+}
+
+} // namespace vanillascale
--- a/test/correctness/LeasesAreLent.cpp
+++ b/test/correctness/LeasesAreLent.cpp
@@ -1,6 +1,6 @@
 #include "../support/SmallSite.h"
 
-#include "Scheduler.h"
+#include "SchedulerPlacement.h"
 
 #include <CppUTest/TestHarness.h>
 
