--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -1,8 +1,11 @@
 #include "NodeReport.h"
 
+#include "ProxyVerdicts.h"
+
 #include <nlohmann/json.hpp>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -43,6 +46,29 @@
     .Set(aValue);
 }
 
+void
+AddHistogram(prometheus::Registry& aRegistry,
+             const char* aName,
+             const char* aHelp,
+             const LatencyHistogram& aHistogram,
+             const Labels& aLabels = {})
+{
+  constexpr double kMsPerSecond = 1000;
+  prometheus::Histogram::BucketBoundaries bounds;
+  for (int it : kLatencyBoundsMs) {
+    bounds.push_back(it / kMsPerSecond);
+  }
+  std::vector<double> counts(aHistogram.mCounts.begin(),
+                             aHistogram.mCounts.end());
+  prometheus::BuildHistogram()
+    .Name(aName)
+    .Help(aHelp)
+    .Register(aRegistry)
+    .Add(aLabels, bounds)
+    .ObserveMultiple(counts,
+                     std::chrono::duration<double>(aHistogram.mSum).count());
+}
+
 void
 AddProxy(prometheus::Registry& aRegistry, const ProxyState& aProxy)
 {
@@ -67,6 +93,22 @@
   add("vanillascale_fallback_sends_total",
       "Sends to targets chosen without a scheduler",
       counters.mFallbackSends);
+  for (RunOutcome it :
+       { RunOutcome::NotRun, RunOutcome::Ran, RunOutcome::Unknown }) {
+    AddHistogram(aRegistry,
+                 "vanillascale_request_duration_seconds",
+                 "From a request's arrival to its answer",
+                 counters.mDurations[static_cast<std::size_t>(it)],
+                 { { "outcome", OutcomeText(it) } });
+  }
+  AddHistogram(aRegistry,
+               "vanillascale_slot_wait_seconds",
+               "From the question for a slot to the send",
+               counters.mSlotWait);
+  AddHistogram(aRegistry,
+               "vanillascale_target_duration_seconds",
+               "From a send to a target to its end",
+               counters.mTargetTime);
   for (const auto& [service, link] : aProxy.mLinks) {
     AddGauge(aRegistry,
              "vanillascale_fallback",
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -3,10 +3,12 @@
 
 #include "ConfigFold.h"
 #include "KeptAnswers.h"
+#include "LatencyHistogram.h"
 #include "LocalChoice.h"
 #include "Members.h"
 #include "WeightedSpread.h"
 
+#include <array>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -112,6 +114,12 @@
   std::uint64_t mRetries = 0;
   std::uint64_t mFallbackSends = 0;
   std::uint64_t mExpiredGrants = 0;
+  /** From a request's arrival to its answer, by RunOutcome. */
+  std::array<LatencyHistogram, 3> mDurations{};
+  /** From the question for a slot to the send. */
+  LatencyHistogram mSlotWait;
+  /** From each send to its end. */
+  LatencyHistogram mTargetTime;
 };
 
 /** An intent that nobody waits for any more and that is to be ended. */
--- a/src/ProxyEndings.cpp
+++ b/src/ProxyEndings.cpp
@@ -44,6 +44,9 @@
   }
   if (!request.mIsCallerGone) {
     CountOutcome(aState, aVerdict.mOutcome);
+    Record(
+      aState.mCounters.mDurations[static_cast<std::size_t>(aVerdict.mOutcome)],
+      aContext.mNow - request.mReceivedAt);
   }
   LogEnd(aContext, request, aVerdict, aAnswer.get());
   // A caller that has gone is answered too: that ends what the shell holds.
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -308,6 +308,7 @@
                LeaseId aLease,
                const TargetId& aTarget)
 {
+  Record(aState.mCounters.mSlotWait, aContext.mNow - aRequest.mStageSince);
   aRequest.mStage = RequestStage::Sent;
   aRequest.mStageSince = aContext.mNow;
   aRequest.mSentAt = aContext.mNow;
@@ -335,6 +336,7 @@
   report.mLease = aRequest.mLease;
   report.mOutcome = aOutcome;
   report.mLatency = aContext.mNow - aRequest.mSentAt;
+  Record(aState.mCounters.mTargetTime, report.mLatency);
   aRequest.mEndedLease = aRequest.mLease;
   if (!aState.mChoosesAlone) {
     aContext.mEffects.push_back(SendPeer{ link.mScheduler, std::move(report) });
