Give the choice of a target a file of its own

Cause: TargetPool.cpp had grown to 580 lines and held two jobs: what is known of the targets, and which of them a request gets. Change: TargetChoice (SlotDemand, PickTarget) with its load pattern; no decision changes.

--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kVmListInterval = seconds(1);
 /** While the list is empty the node can serve nobody. */
 constexpr Duration kEmptyVmListInterval = milliseconds(100);
+/** Members find each other within 0.3 s and have copies two pulls later; the
+ * first callers come seconds after the fleet's start. */
 constexpr Duration kJoinPatience = milliseconds(1200);
 constexpr Duration kIdleSchedulerTime = seconds(5);
 /** Long enough for the fleet to learn that a node is leaving, and for a
--- a/src/SchedulerPlacement.cpp
+++ b/src/SchedulerPlacement.cpp
@@ -1,6 +1,7 @@
 #include "SchedulerPlacement.h"
 
 #include "SchedulerEvidence.h"
+#include "TargetChoice.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -3,7 +3,6 @@
 #include "EventNumbers.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace vanillascale {
 
@@ -19,16 +18,9 @@
 constexpr Duration kPathPause = seconds(5);
 constexpr double kTrialFailed = 4.5;
 constexpr double kTrialPassed = -4;
-constexpr unsigned kSettlingRequests = 2;
 constexpr Duration kColdStep = seconds(1);
 constexpr Duration kColdTime = seconds(4);
 
-bool
-IsOut(const PooledTarget& aTarget, TimePoint aNow)
-{
-  return aTarget.mIsLeaving || aNow < aTarget.mDrainingUntil;
-}
-
 bool
 IsUsable(const PooledTarget& aTarget, TimePoint aNow)
 {
@@ -41,22 +33,6 @@
   return aTarget.mWasCold && aNow - aTarget.mSeenAt < kColdTime;
 }
 
-unsigned
-OpenSlotsOf(const PooledTarget& aTarget, TimePoint aNow)
-{
-  if (!IsCold(aTarget, aNow)) {
-    return aTarget.mSlots;
-  }
-  auto steps = static_cast<unsigned>((aNow - aTarget.mSeenAt) / kColdStep);
-  return std::min(aTarget.mSlots, steps + 1);
-}
-
-unsigned
-Busy(const PooledTarget& aTarget)
-{
-  return aTarget.mBusyShort + aTarget.mBusyLong;
-}
-
 unsigned
 TotalSlots(const TargetPool& aPool, TimePoint aNow)
 {
@@ -67,15 +43,6 @@
   return n;
 }
 
-bool
-IsAvoidedFrom(const PooledTarget& aTarget,
-              TimePoint aNow,
-              const ZoneName& aZone)
-{
-  auto it = aTarget.mAvoided.find(aZone);
-  return it != aTarget.mAvoided.end() && aNow < it->second.mUntil;
-}
-
 bool
 FloorAllowsEjection(const TargetPool& aPool,
                     TimePoint aNow,
@@ -209,162 +176,51 @@
   }
 }
 
-/** The order in which targets are preferred; smaller goes first. */
-struct Preference
-{
-  /** Doubt or a bad path, in steps. */
-  unsigned mRisk = 0;
-  bool mIsSuspect = false;
-  unsigned mBusyLong = 0;
-  /** Its last slot would be used: targets slow down when they are full. */
-  bool mIsFilledUp = false;
-  bool mIsElsewhere = false;
-  unsigned mLoad = 0;
-  /** Among equals: the latest proof first for work that may not be repeated,
-   * the longest unused first for work that may. */
-  Duration mOrder{ 0 };
-
-  bool operator<(const Preference& aOther) const
-  {
-    auto tie = [](const Preference& aIt) {
-      return std::tie(aIt.mRisk,
-                      aIt.mIsSuspect,
-                      aIt.mBusyLong,
-                      aIt.mIsFilledUp,
-                      aIt.mIsElsewhere,
-                      aIt.mLoad,
-                      aIt.mOrder);
-    };
-    return tie(*this) < tie(aOther);
-  }
-};
-
 /** How long a node's failure to connect counts: paths are cut for seconds. */
 constexpr Duration kUnreachedTime = seconds(4);
-/** Without a request for so long, a target may have turned gray unnoticed. */
-constexpr Duration kNeglectTime = milliseconds(900);
-/** Sound targets must not be left out for two seconds while others fail. */
-constexpr Duration kSpreadTime = milliseconds(1300);
-constexpr unsigned kRiskDoubted = 1;
-constexpr unsigned kRiskUnreached = 2;
+
+} // namespace
 
 bool
-IsUnreachedFrom(const PooledTarget& aTarget,
-                TimePoint aNow,
-                const NodeId& aNode)
+IsOut(const PooledTarget& aTarget, TimePoint aNow)
 {
-  auto it = aTarget.mUnreachedFrom.find(aNode);
-  return it != aTarget.mUnreachedFrom.end() && aNow < it->second;
+  return aTarget.mIsLeaving || aNow < aTarget.mDrainingUntil;
 }
 
-/** Whether a request should go to a target to settle whether it is well. One or
- * two at a time do, that can bear a failure; for a suspect they come from zones
- * other than the one that raised the suspicion. */
-bool
-Settles(const TargetPool& aPool,
-        const PooledTarget& aTarget,
-        TimePoint aNow,
-        unsigned aOpen,
-        const SlotDemand& aDemand)
+unsigned
+Busy(const PooledTarget& aTarget)
 {
-  unsigned active = Busy(aTarget) - std::min(Busy(aTarget), aTarget.mSilent);
-  // Silent requests may never have reached the target, so that they must not
-  // keep the question open: a few go beyond the slots that they hold.
-  unsigned most = aOpen + std::min(aTarget.mSilent, kSettlingRequests);
-  if (!aDemand.mMaySuffer || Busy(aTarget) >= most ||
-      IsPausing(aTarget.mTrust, aNow, aPool.mTrialPause)) {
-    return false;
-  }
-  if (aTarget.mState == TargetState::Trial) {
-    return active == 0;
-  }
-  bool isHeard =
-    aPool.mActiveZones < 2 || aDemand.mZone != aTarget.mEvidence.mAccuser;
-  return aTarget.mState == TargetState::Serving &&
-         aTarget.mEvidence.mIsSuspect && isHeard && active < kSettlingRequests;
+  return aTarget.mBusyShort + aTarget.mBusyLong;
 }
 
-/** Whether a target that answers well again may be found out by a request. */
-bool
-IsOnTrial(const TargetPool& aPool,
-          const PooledTarget& aTarget,
-          TimePoint aNow,
-          const SlotDemand& aDemand)
+unsigned
+OpenSlotsOf(const PooledTarget& aTarget, TimePoint aNow)
 {
-  return aDemand.mMaySuffer && Busy(aTarget) == 0 &&
-         IsTrialDue(aTarget.mTrust, aNow, aPool.mTrialPause);
+  if (!IsCold(aTarget, aNow)) {
+    return aTarget.mSlots;
+  }
+  auto steps = static_cast<unsigned>((aNow - aTarget.mSeenAt) / kColdStep);
+  return std::min(aTarget.mSlots, steps + 1);
 }
 
-/** Whether nobody knows any more how a target does: it gets a request that may
- * be repeated, also from another zone. While many requests are not served,
- * doubted targets and those on trial get one too, and trusted ones also work
- * that may not be repeated. */
 bool
-IsNeglected(const TargetPool& aPool,
-            const PooledTarget& aTarget,
-            TimePoint aNow,
-            const SlotDemand& aDemand)
+IsAvoidedFrom(const PooledTarget& aTarget,
+              TimePoint aNow,
+              const ZoneName& aZone)
 {
-  bool isOpen = aTarget.mState != TargetState::Ejected && Busy(aTarget) == 0 &&
-                !IsUnreachedFrom(aTarget, aNow, aDemand.mNode);
-  bool isTrusted =
-    aTarget.mState == TargetState::Serving && !IsDoubted(aTarget.mTrust, aNow);
-  Duration unused = aNow - aTarget.mUsedAt;
-  bool isUnknown = isTrusted && aDemand.mMaySuffer && unused >= kNeglectTime;
-  bool isLeftOut = aPool.mAreManyUnserved && unused >= kSpreadTime &&
-                   (isTrusted || aDemand.mMaySuffer);
-  return isOpen && (isUnknown || isLeftOut);
+  auto it = aTarget.mAvoided.find(aZone);
+  return it != aTarget.mAvoided.end() && aNow < it->second.mUntil;
 }
 
-std::optional<Preference>
-Prefer(const TargetPool& aPool,
-       const PooledTarget& aTarget,
-       TimePoint aNow,
-       const SlotDemand& aDemand)
+bool
+IsUnreachedFrom(const PooledTarget& aTarget,
+                TimePoint aNow,
+                const NodeId& aNode)
 {
-  unsigned open = OpenSlotsOf(aTarget, aNow);
-  if (Settles(aPool, aTarget, aNow, open, aDemand) ||
-      IsNeglected(aPool, aTarget, aNow, aDemand)) {
-    // The longest unused first: where many are in question, each gets its turn.
-    Preference preference;
-    preference.mOrder = aTarget.mUsedAt.time_since_epoch();
-    return preference;
-  }
-  if (aTarget.mState != TargetState::Serving || open == 0) {
-    return std::nullopt;
-  }
-  bool isDoubted = IsDoubted(aTarget.mTrust, aNow);
-  if (isDoubted && aDemand.mNeedsTrust) {
-    return std::nullopt;
-  }
-  Preference preference;
-  preference.mRisk =
-    isDoubted && !IsOnTrial(aPool, aTarget, aNow, aDemand) ? kRiskDoubted : 0;
-  if (IsUnreachedFrom(aTarget, aNow, aDemand.mNode)) {
-    preference.mRisk = kRiskUnreached;
-  }
-  preference.mIsSuspect = aTarget.mEvidence.mIsSuspect;
-  preference.mIsElsewhere = aTarget.mZone != aDemand.mZone;
-  if (aDemand.mMayQueueAhead) {
-    bool hasTurnover = 2 * aTarget.mBusyLong < open;
-    bool fits = hasTurnover && Busy(aTarget) < open + 1;
-    preference.mBusyLong = aTarget.mBusyLong;
-    return fits ? std::make_optional(preference) : std::nullopt;
-  }
-  if (Busy(aTarget) >= open) {
-    return std::nullopt;
-  }
-  preference.mBusyLong = aDemand.mIsLong ? aTarget.mBusyLong : 0;
-  preference.mIsFilledUp = open > 1 && Busy(aTarget) + 1 >= open;
-  preference.mLoad = 100 * Busy(aTarget) / open;
-  preference.mOrder = aDemand.mMaySuffer
-                        ? aTarget.mUsedAt.time_since_epoch()
-                        : -aTarget.mTrust.mProvedAt.time_since_epoch();
-  return preference;
+  auto it = aTarget.mUnreachedFrom.find(aNode);
+  return it != aTarget.mUnreachedFrom.end() && aNow < it->second;
 }
 
-} // namespace
-
 void
 UpdatePool(TargetPool& aPool,
            TimePoint aNow,
@@ -460,26 +316,6 @@
     });
 }
 
-std::optional<TargetId>
-PickTarget(const TargetPool& aPool, TimePoint aNow, const SlotDemand& aDemand)
-{
-  const TargetId* best = nullptr;
-  Preference bestPreference;
-  for (const auto& [id, target] : aPool.mTargets) {
-    bool isBarred = IsOut(target, aNow) || id == aDemand.mAvoid ||
-                    IsAvoidedFrom(target, aNow, aDemand.mZone);
-    if (isBarred) {
-      continue;
-    }
-    auto preference = Prefer(aPool, target, aNow, aDemand);
-    if (preference && (!best || *preference < bestPreference)) {
-      best = &id;
-      bestPreference = *preference;
-    }
-  }
-  return best ? std::make_optional(*best) : std::nullopt;
-}
-
 void
 NoteUnreached(TargetPool& aPool,
               TimePoint aNow,
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -21,6 +21,9 @@
   Trial
 };
 
+/** Sound targets must not be left out for two seconds while others fail. */
+constexpr Duration kSpreadTime = std::chrono::milliseconds(1300);
+
 /** A zone's path to a target that is left out for a while. */
 struct AvoidedPath
 {
@@ -83,22 +86,6 @@
   bool mHasView = false;
 };
 
-/** What a request needs of a target. */
-struct SlotDemand
-{
-  NodeId mNode;
-  ZoneName mZone;
-  TargetId mAvoid;
-  bool mIsLong = false;
-  /** May not be sent again: goes to targets that are trusted, as long as it can
-   * wait for one. */
-  bool mNeedsTrust = false;
-  /** May try out a target that is suspected: idempotent, short and fresh. */
-  bool mMaySuffer = false;
-  /** May wait at a busy target for its next free slot. */
-  bool mMayQueueAhead = false;
-};
-
 /** A change of a target's state, for the log. */
 struct PoolChange
 {
@@ -115,6 +102,31 @@
            const std::string& aVmGroup,
            const std::vector<Vm>& aVms);
 
+/** Whether a target leaves or drains: it gets no request. Pure. */
+bool
+IsOut(const PooledTarget& aTarget, TimePoint aNow);
+
+/** A target's slots in use. Pure. */
+unsigned
+Busy(const PooledTarget& aTarget);
+
+/** A target's slots that requests may use now; a cold one opens them in steps.
+ * Pure. */
+unsigned
+OpenSlotsOf(const PooledTarget& aTarget, TimePoint aNow);
+
+/** Whether a zone's path to a target is left out now. Pure. */
+bool
+IsAvoidedFrom(const PooledTarget& aTarget,
+              TimePoint aNow,
+              const ZoneName& aZone);
+
+/** Whether a node could not connect to a target lately. Pure. */
+bool
+IsUnreachedFrom(const PooledTarget& aTarget,
+                TimePoint aNow,
+                const NodeId& aNode);
+
 /** Slots of targets that are neither leaving nor draining nor ejected. A trial
  * counts as ejected. */
 unsigned
@@ -140,12 +152,6 @@
 bool
 HasTrusted(const TargetPool& aPool, TimePoint aNow);
 
-/** Picks the target for a request: the least suspect with a free slot, of the
- * request's own zone if there is one. Long work goes where there is least of
- * it, so that it is spread. Returns nothing where no slot is free. Pure. */
-std::optional<TargetId>
-PickTarget(const TargetPool& aPool, TimePoint aNow, const SlotDemand& aDemand);
-
 /** Notes that a node could not connect to a target. Where others could not
  * either, the target itself is doubted. */
 void
--- a/test/correctness/FloorsHold.cpp
+++ b/test/correctness/FloorsHold.cpp
@@ -1,7 +1,7 @@
 #include "../support/Fakes.h"
 #include "../support/Properties.h"
 
-#include "TargetPool.h"
+#include "TargetChoice.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/correctness/GrayTargetsAreAvoided.cpp
+++ b/test/correctness/GrayTargetsAreAvoided.cpp
@@ -1,6 +1,6 @@
 #include "Random.h"
 #include "Scheduler.h"
-#include "TargetPool.h"
+#include "TargetChoice.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/test/performance/Slopes.cpp
+++ b/test/performance/Slopes.cpp
@@ -4,6 +4,7 @@
 #include "Hash.h"
 #include "IntentFold.h"
 #include "Rendezvous.h"
+#include "TargetChoice.h"
 
 #include <chrono>
 #include <cstdio>
