--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -185,12 +185,14 @@
   return true;
 }
 
-const std::vector<SettingRow>&
-Table()
+constexpr const char* kAddressText = "an IP number and a port, as 10.0.0.1:80";
+constexpr const char* kNameText = "1 to 64 letters, digits, '-' or '_'";
+
+/** Where the process listens, and whom it talks to. */
+std::vector<SettingRow>
+ConnectionRows()
 {
-  static const char* const sAddress = "an IP number and a port, as 10.0.0.1:80";
-  static const char* const sName = "1 to 64 letters, digits, '-' or '_'";
-  static const std::vector<SettingRow> sTable{
+  return {
     { "boot",
       "",
       "a file with more settings, one `name = value` a line",
@@ -199,23 +201,27 @@
     { "listen",
       "",
       "where callers connect",
-      sAddress,
+      kAddressText,
       TakeEndpoint(&Settings::mListen) },
     { "peer",
       "",
       "where other proxies connect; also this node's name",
-      sAddress,
+      kAddressText,
       TakeEndpoint(&Settings::mPeer) },
     { "admin",
       "",
       "where /ready, /live, /metrics and /status are served",
-      sAddress,
+      kAddressText,
       TakeEndpoint(&Settings::mAdmin) },
-    { "ready", "", "a second address for the same pages", sAddress, TakeReady },
+    { "ready",
+      "",
+      "a second address for the same pages",
+      kAddressText,
+      TakeReady },
     { "platform",
       "",
       "the platform's log and VM list",
-      sAddress,
+      kAddressText,
       TakeEndpoint(&Settings::mPlatform) },
     { "platform-api",
       "log",
@@ -232,6 +238,14 @@
       "addresses of other proxies; this node's peer port is put for theirs",
       "addresses with commas between them",
       TakeSeeds },
+  };
+}
+
+/** What the process is, and its limits. */
+std::vector<SettingRow>
+ProcessRows()
+{
+  return {
     { "stop-within-ms",
       "0",
       "how long after SIGTERM the process may still run; 0 for as long as it "
@@ -255,16 +269,16 @@
       "the processor share that the VM grants; strong VMs carry the duties",
       "a number of cores from 0.01 to 1024",
       TakeCores },
-    { "zone", "", "this VM's availability zone", sName, TakeZone },
+    { "zone", "", "this VM's availability zone", kNameText, TakeZone },
     { "environment",
       "",
       "the environment whose document is served",
-      sName,
+      kNameText,
       TakeName(&Settings::mEnvironment) },
     { "vm-group",
       "",
       "the group of the VM list that holds this environment's proxies",
-      sName,
+      kNameText,
       TakeName(&Settings::mVmGroup) },
     { "max-body-bytes",
       "1048576",
@@ -277,6 +291,17 @@
       "a number from 4 to 4096",
       TakeNumber(&Settings::mMaxCallers, kLeastCallers, kMostCallers) },
   };
+}
+
+const std::vector<SettingRow>&
+Table()
+{
+  static const std::vector<SettingRow> sTable = [] {
+    std::vector<SettingRow> rows = ConnectionRows();
+    std::vector<SettingRow> others = ProcessRows();
+    rows.insert(rows.end(), others.begin(), others.end());
+    return rows;
+  }();
   return sTable;
 }
 
