Log the source and age of a configuration, late timers and lost peer messages

Change: DocumentRead has source and age_ms; LoopDelayed (109) says that a timer ran 200 ms late or more; PeerMessagesDropped (110) counts what could not be sent.

Measured: EventsAreListed and KeyedFeedsAreReplicated pass.

--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -20,6 +20,10 @@
       return "Reloaded";
     case kEventLinesDropped:
       return "LinesDropped";
+    case kEventLoopDelayed:
+      return "LoopDelayed";
+    case kEventPeerMessagesDropped:
+      return "PeerMessagesDropped";
     case kEventRequestRefused:
       return "RequestRefused";
     case kEventRequestEnded:
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -13,6 +13,8 @@
 constexpr int kEventServerFailed = 106;
 constexpr int kEventReloaded = 107;
 constexpr int kEventLinesDropped = 108;
+constexpr int kEventLoopDelayed = 109;
+constexpr int kEventPeerMessagesDropped = 110;
 
 constexpr int kEventRequestRefused = 200;
 constexpr int kEventRequestEnded = 202;
--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -178,11 +178,15 @@
   }
 }
 
-/** Records that the copy matched the store at aFreshAt, and detects the end of
- * an outage. */
+/** Records that aSource has confirmed that the copy matched the store at
+ * aFreshAt, and detects the end of an outage. An empty aSource is the store. */
 void
-RecordFreshness(KeyedFeedState& aState, TimePoint aNow, TimePoint aFreshAt)
+RecordFreshness(KeyedFeedState& aState,
+                TimePoint aNow,
+                TimePoint aFreshAt,
+                const NodeId& aSource)
 {
+  aState.mConfirmedBy = aSource;
   bool hadOutage =
     aState.mIsLoaded && aFreshAt - aState.mFreshAt > kOutageThreshold;
   if (hadOutage) {
@@ -303,7 +307,7 @@
     return;
   }
   LogOffset after = aState.mEnd;
-  RecordFreshness(aState, aContext.mNow, aContext.mNow);
+  RecordFreshness(aState, aContext.mNow, aContext.mNow, NodeId());
   FeedPush push;
   if (aRead.mIsSnapshot) {
     ApplySnapshot(aState, aContext.mNow, aRead.mEnd, aRead.mEntries);
@@ -346,7 +350,7 @@
       SendToPeer{ aFrom, FeedPull{ aState.mSettings.mTopic, aState.mEnd } });
     return;
   }
-  RecordFreshness(aState, aContext.mNow, aContext.mNow - aPush.mAge);
+  RecordFreshness(aState, aContext.mNow, aContext.mNow - aPush.mAge, aFrom);
   if (aPush.mIsSnapshot) {
     ApplySnapshot(aState, aContext.mNow, aPush.mEnd, aPush.mEntries);
   } else {
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -46,6 +46,8 @@
   TimePoint mStartedAt{};
   /** The latest time at which the copy is known to match the store. */
   TimePoint mFreshAt{};
+  /** The peer that the copy was last confirmed by; empty for the store. */
+  NodeId mConfirmedBy;
   bool mIsReading = false;
   /** The next read has to return all entries, not only the changed ones. */
   bool mNeedsFullRead = true;
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -198,9 +198,13 @@
  * current one. Logs the outcome. */
 void
 ApplyDocuments(NodeState& aState,
+               TimePoint aNow,
                const KeyedFeedState& aFeed,
                Effects& aEffects)
 {
+  std::string source =
+    aFeed.mConfirmedBy.mValue.empty() ? "store" : aFeed.mConfirmedBy.mValue;
+  auto ageMs = (aNow - aFeed.mFreshAt) / milliseconds(1);
   for (const auto& [key, entry] : aFeed.mEntries) {
     auto document = ParseDocument(entry.mValue);
     std::string outcome = "in_force";
@@ -214,6 +218,7 @@
       WriteEvent{ kEventDocumentRead,
                   "offset=" + std::to_string(entry.mOffset) + " revision=" +
                     std::to_string(aState.mConfig.mConfig.mDocument.mRevision) +
+                    " source=" + source + " age_ms=" + std::to_string(ageMs) +
                     " outcome=" + outcome });
   }
 }
@@ -225,7 +230,7 @@
   const KeyedFeedState& documents = aState.mFeeds.at(kDocumentTopic);
   if (documents.mVersion != aState.mSeenDocumentsVersion) {
     aState.mSeenDocumentsVersion = documents.mVersion;
-    ApplyDocuments(aState, documents, aEffects);
+    ApplyDocuments(aState, aNow, documents, aEffects);
   }
   const KeyedFeedState& targets = aState.mFeeds.at(kTargetTopic);
   bool isFirst = targets.mIsLoaded && !aState.mHasVms;
--- a/src/NodeRuntime.cpp
+++ b/src/NodeRuntime.cpp
@@ -33,6 +33,9 @@
 /** A connection without a request for so long has no request on its way, as far
  * as round trips go, and is closed when the node leaves. */
 constexpr Duration kIdleBeforeClose = milliseconds(300);
+/** A timer that is later than this is logged: it is a tenth of the time in
+ * which a configuration has to be in force. */
+constexpr Duration kLoggedTimerLag = milliseconds(200);
 
 TimePoint
 Now()
@@ -96,6 +99,8 @@
   bool mIsStopping = false;
   bool mIsStopped = false;
   std::uint64_t mLimitsRevision = 0;
+  /** The messages to peers whose loss has been logged. */
+  std::uint64_t mLoggedDrops = 0;
   TimePoint mStoppedAt{};
   RuntimeCounters mCounters;
 
@@ -191,6 +196,7 @@
       auto lag = SteadyClock::now() - due;
       mCounters.mMaxTimerLag = std::max(
         mCounters.mMaxTimerLag, std::chrono::duration_cast<Duration>(lag));
+      LogDelays(std::chrono::duration_cast<Duration>(lag));
       // The next pause counts from here: work that is late is not made up for.
       mTickTimer.expires_after(std::chrono::hours(1));
       Post(Tick{});
@@ -200,6 +206,22 @@
     });
   }
 
+  /** Logs a late timer, and messages to peers that were lost since the last
+   * call. */
+  void LogDelays(Duration aTimerLag)
+  {
+    if (aTimerLag >= kLoggedTimerLag) {
+      Write(kEventLoopDelayed,
+            "lag_ms=" + std::to_string(aTimerLag / milliseconds(1)));
+    }
+    std::uint64_t dropped = mLinks->Counters().mDropped;
+    if (dropped > mLoggedDrops) {
+      Write(kEventPeerMessagesDropped,
+            "messages=" + std::to_string(dropped - mLoggedDrops));
+      mLoggedDrops = dropped;
+    }
+  }
+
   void ArmSweep()
   {
     mSweepTimer.expires_after(kSweepInterval);
