Push the changed objects of a configuration instead of the whole document

Cause: a change of one object cost the whole document, on each link and at each node. The reader sent it to each node of its zone (25 times 293 kB with 1,400 routes, 583 kB with 2,800), each node parsed it whole (16 and 33 ms of a full core; ten times that on machines with a tenth of one), and formatted it as well if it had read the store itself. Nodes that got no push in time read the store, and then pushed the whole document to their zone too, so that late nodes made all others later: links were full, transfers cut, reads of the store timed out. Class: a repair whose cost grows with the state and with the number of nodes that need it, so that overload sustains itself.

Change: the adapter translates the newest configuration of a read into one entry for each object (DocumentEntries) and checks it as a whole (CheckDocument). The feed pushes the differences between two records; they apply only to a copy at the first of them, and a node that missed one requests the changes since its end, which peers keep for 32 records. Nodes update the document and the route table in place. A reader that falls behind skips to the newest record. Skipped records leave an event.

--- a/src/ConfigFold.cpp
+++ b/src/ConfigFold.cpp
@@ -412,23 +412,6 @@
   return name ? &aState.mDocument.mRoutes.at(*name) : nullptr;
 }
 
-bool
-ReplaceDocument(ConfigState& aState, Document aDocument, LogOffset aOffset)
-{
-  const Document& current = aState.mDocument;
-  bool isFirst = current.mEnvironment.empty();
-  bool isNewer = isFirst || (aOffset > aState.mOffset &&
-                             aDocument.mRevision > current.mRevision &&
-                             aDocument.mEnvironment == current.mEnvironment);
-  if (!isNewer) {
-    return false;
-  }
-  aState.mDocument = std::move(aDocument);
-  aState.mRoutes = RouteTable::Make(aState.mDocument);
-  aState.mOffset = aOffset;
-  return true;
-}
-
 RecordVerdict
 FoldRecord(ConfigState& aState, const LogRecord& aRecord)
 {
--- a/src/ConfigFold.h
+++ b/src/ConfigFold.h
@@ -114,13 +114,6 @@
           std::string_view aPath,
           std::string_view aHost = {});
 
-/** Replaces the whole document by one that was published at aOffset. The first
- * document is always accepted. Returns false, and changes nothing, if the
- * offset or the document's revision is not above the current one, or if the
- * document belongs to another environment. */
-bool
-ReplaceDocument(ConfigState& aState, Document aDocument, LogOffset aOffset);
-
 /** Returns a change as the payload of a log record. Pure; any thread. */
 std::string
 FormatChange(const Change& aChange);
--- a/src/Document.h
+++ b/src/Document.h
@@ -3,6 +3,7 @@
 
 #include "Clock.h"
 #include "Ids.h"
+#include "MsgpackTypes.h"
 
 #include <cstdint>
 #include <map>
@@ -54,6 +55,14 @@
   /** The log offset of the change that last replaced this object; 0 if no
    * change has replaced it. */
   LogOffset mVersion = 0;
+  MSGPACK_DEFINE(mName,
+                 mVmGroup,
+                 mFloorPercent,
+                 mAccountLimit,
+                 mGuaranteedPercent,
+                 mRetryPercent,
+                 mRetryBurst,
+                 mVersion)
 };
 
 /** The weight with which a route's requests are sent to a service. */
@@ -61,6 +70,7 @@
 {
   ServiceName mService;
   unsigned mWeight = 1;
+  MSGPACK_DEFINE(mService, mWeight)
 };
 
 /** A route: the requests that it matches and the rules for serving them. */
@@ -98,6 +108,21 @@
   /** The log offset of the change that last replaced this object; 0 if no
    * change has replaced it. */
   LogOffset mVersion = 0;
+  MSGPACK_DEFINE(mName,
+                 mService,
+                 mShares,
+                 mHost,
+                 mMethod,
+                 mPath,
+                 mPriority,
+                 mWorkClass,
+                 mIdempotent,
+                 mAtMostOnceScope,
+                 mDeadline,
+                 mIsDeadlineUpperBound,
+                 mGoal,
+                 mAttempts,
+                 mVersion)
 };
 
 /** Limits on the requests and connections of callers. */
@@ -111,6 +136,7 @@
   Duration mRequestTime{ 0 };
   /** The maximum idle time between two requests on one connection. */
   Duration mIdleTime{ 0 };
+  MSGPACK_DEFINE(mHeadBytes, mBodyBytes, mRequestTime, mIdleTime)
 };
 
 /** The configuration of an environment, which operators promote as a whole. */
@@ -155,6 +181,12 @@
 std::vector<DocumentFault>
 CheckReferences(const Document& aDocument);
 
+/** Checks a document that was not parsed by ParseDocument against the same
+ * limits, including CheckReferences. Returns all faults. Pure and safe to call
+ * from any thread. */
+std::vector<DocumentFault>
+CheckDocument(const Document& aDocument);
+
 /** Parses one service from JSON text in the format of a document's services.
  * Returns all faults found. */
 tl::expected<Service, std::vector<DocumentFault>>
@@ -183,4 +215,7 @@
 
 } // namespace vanillascale
 
+MSGPACK_ADD_ENUM(vanillascale::WorkClass)
+MSGPACK_ADD_ENUM(vanillascale::AtMostOnceScope)
+
 #endif
--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -42,6 +42,8 @@
       return "CheckpointWritten";
     case kEventDocumentRead:
       return "DocumentRead";
+    case kEventRecordSkipped:
+      return "RecordSkipped";
     case kEventSchedulerStarted:
       return "SchedulerStarted";
     case kEventSchedulerEnded:
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -26,6 +26,7 @@
 constexpr int kEventChangeFolded = 300;
 constexpr int kEventCheckpointWritten = 302;
 constexpr int kEventDocumentRead = 303;
+constexpr int kEventRecordSkipped = 304;
 
 constexpr int kEventSchedulerStarted = 400;
 constexpr int kEventSchedulerEnded = 401;
--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -4,6 +4,7 @@
 #include "EventNumbers.h"
 
 #include <algorithm>
+#include <set>
 
 namespace vanillascale {
 
@@ -28,6 +29,9 @@
  * have been unavailable. The threshold is below the time after which entries
  * expire at the earliest, which is some seconds. */
 constexpr Duration kOutageThreshold = milliseconds(1500);
+/** Limits of KeyedFeedState::mRecentDeltas. */
+constexpr std::size_t kMaxRecentDeltas = 32;
+constexpr std::size_t kMaxRecentEntries = 4096;
 
 /** Returns this node's rank among the readers of its zone. The rank is cached
  * and computed again only after the membership has changed. */
@@ -113,7 +117,10 @@
 void
 RemoveEntry(KeyedFeedState& aState, const std::string& aKey)
 {
-  aState.mVersion += aState.mEntries.erase(aKey);
+  if (aState.mEntries.erase(aKey) > 0) {
+    ++aState.mVersion;
+    aState.mChangedKeys.push_back(aKey);
+  }
   aState.mPendingRemovals.erase(aKey);
 }
 
@@ -150,23 +157,41 @@
   bool isNew =
     it == aState.mEntries.end() || it->second.mValue != aEntry.mValue;
   aState.mEntries[aEntry.mKey] = aEntry;
-  aState.mVersion += isNew ? 1 : 0;
+  if (isNew) {
+    ++aState.mVersion;
+    aState.mChangedKeys.push_back(aEntry.mKey);
+  }
   return isNew || isRestored;
 }
 
+/** Applies entries in their order and returns those that changed the copy. */
+std::vector<FeedEntry>
+ApplyEntries(KeyedFeedState& aState,
+             TimePoint aNow,
+             const std::vector<FeedEntry>& aEntries)
+{
+  std::vector<FeedEntry> changes;
+  for (const FeedEntry& it : aEntries) {
+    if (ApplyEntry(aState, aNow, it)) {
+      changes.push_back(it);
+    }
+  }
+  return changes;
+}
+
 /** Applies the entries of a full copy that ends at aEnd, and removes older
- * entries that it does not contain. */
-void
+ * entries that it does not contain. Returns the changes to the copy. */
+std::vector<FeedEntry>
 ApplySnapshot(KeyedFeedState& aState,
               TimePoint aNow,
               LogOffset aEnd,
               const std::vector<FeedEntry>& aEntries)
 {
-  std::map<std::string, bool> present;
+  std::set<std::string> present;
   for (const FeedEntry& it : aEntries) {
-    present[it.mKey] = true;
-    ApplyEntry(aState, aNow, it);
+    present.insert(it.mKey);
   }
+  std::vector<FeedEntry> changes = ApplyEntries(aState, aNow, aEntries);
   std::vector<std::string> absent;
   for (const auto& [key, entry] : aState.mEntries) {
     if (present.count(key) == 0 && entry.mOffset < aEnd) {
@@ -175,7 +200,51 @@
   }
   for (const std::string& it : absent) {
     RemoveOrDefer(aState, aNow, it);
+    changes.push_back({ it, aEnd, "" });
   }
+  return changes;
+}
+
+/** Appends changes to the recent ones, and drops the oldest ones beyond the
+ * limits. */
+void
+RecordDelta(KeyedFeedState& aState, FeedDelta aDelta)
+{
+  if (!aState.mSettings.mHasWholeRecords || aDelta.mAfter == aDelta.mEnd) {
+    return;
+  }
+  auto& deltas = aState.mRecentDeltas;
+  if (!deltas.empty() && deltas.back().mEnd != aDelta.mAfter) {
+    deltas.clear();
+  }
+  deltas.push_back(std::move(aDelta));
+  std::size_t entries = 0;
+  std::size_t kept = 0;
+  for (auto it = deltas.rbegin(); it != deltas.rend(); ++it, ++kept) {
+    entries += it->mEntries.size();
+    if (entries > kMaxRecentEntries || kept == kMaxRecentDeltas) {
+      break;
+    }
+  }
+  deltas.erase(deltas.begin(),
+               deltas.end() - static_cast<std::ptrdiff_t>(kept));
+}
+
+/** Applies the entries of a read and returns the changes to the copy. Entries
+ * of a revision that is not above the copy's are skipped. */
+std::vector<FeedEntry>
+ApplyRead(KeyedFeedState& aState, TimePoint aNow, const FeedReadResult& aRead)
+{
+  if (!aRead.mIsSnapshot) {
+    return ApplyEntries(aState, aNow, aRead.mEntries);
+  }
+  bool isOldRevision = aState.mIsLoaded && aState.mSettings.mHasWholeRecords &&
+                       aRead.mRevision <= aState.mRevision;
+  if (isOldRevision) {
+    return {};
+  }
+  aState.mRevision = aRead.mRevision;
+  return ApplySnapshot(aState, aNow, aRead.mEnd, aRead.mEntries);
 }
 
 /** Records that aSource has confirmed that the copy matched the store at
@@ -203,6 +272,7 @@
   push.mTopic = aState.mSettings.mTopic;
   push.mEnd = aState.mEnd;
   push.mAge = aNow - aState.mFreshAt;
+  push.mRevision = aState.mRevision;
   return push;
 }
 
@@ -253,6 +323,33 @@
   aState.mNextReadAt = aContext.mNow + delay / 2 + Duration(jitter);
 }
 
+/** Returns whether a push without all entries connects to this node's copy. */
+bool
+IsContiguous(const KeyedFeedState& aState, const FeedPush& aPush)
+{
+  if (!aState.mIsLoaded) {
+    return false;
+  }
+  return aState.mSettings.mHasWholeRecords
+           ? aPush.mAfter == aState.mEnd || aPush.mEnd == aState.mEnd
+           : aPush.mAfter <= aState.mEnd;
+}
+
+/** Requests the changes since this node's end from a peer, unless a request was
+ * sent a moment ago: its answer may be large and under way. */
+void
+RequestChanges(KeyedFeedState& aState,
+               const FeedContext& aContext,
+               const NodeId& aFrom)
+{
+  if (aContext.mNow < aState.mNextPullAt) {
+    return;
+  }
+  aState.mNextPullAt = aContext.mNow + kPullInterval;
+  aContext.mEffects.push_back(
+    SendToPeer{ aFrom, FeedPull{ aState.mSettings.mTopic, aState.mEnd } });
+}
+
 } // namespace
 
 KeyedFeedState
@@ -306,32 +403,38 @@
     aState.mNextReadAt = aContext.mNow;
     return;
   }
-  LogOffset after = aState.mEnd;
-  RecordFreshness(aState, aContext.mNow, aContext.mNow, NodeId());
-  FeedPush push;
-  if (aRead.mIsSnapshot) {
-    ApplySnapshot(aState, aContext.mNow, aRead.mEnd, aRead.mEntries);
-  } else {
-    for (const FeedEntry& it : aRead.mEntries) {
-      if (ApplyEntry(aState, aContext.mNow, it)) {
-        push.mEntries.push_back(it);
-      }
+  if (!aRead.mFault.empty()) {
+    aContext.mEffects.push_back(WriteEvent{
+      kEventRecordSkipped,
+      "topic=" + aState.mSettings.mTopic +
+        " end=" + std::to_string(aRead.mEnd) + " " + aRead.mFault });
+    if (!aState.mIsLoaded && aRead.mEntries.empty()) {
+      // The entries in force are those of an earlier record, which a peer has.
+      RecordReadFailure(aState, aContext);
+      return;
     }
   }
+  FeedPush push;
+  push.mAfter = aState.mEnd;
+  RecordFreshness(aState, aContext.mNow, aContext.mNow, NodeId());
+  std::vector<FeedEntry> changes = ApplyRead(aState, aContext.mNow, aRead);
   aState.mEnd = std::max(aState.mEnd, aRead.mEnd);
   bool wasLoaded = aState.mIsLoaded;
   aState.mIsLoaded = true;
-  aState.mNeedsFullRead = false;
+  bool hasWholeRecords = aState.mSettings.mHasWholeRecords;
+  // Records that replace each other need not be read one by one.
+  aState.mNeedsFullRead = hasWholeRecords && aRead.mHasMore;
   // The first read of a node is not pushed: the other nodes load a copy of
   // their own when they start.
   if (!wasLoaded) {
     return;
   }
-  auto entries = std::move(push.mEntries);
+  LogOffset after = push.mAfter;
+  RecordDelta(aState, { after, aState.mEnd, changes });
   push = MakePush(aState, aContext.mNow);
-  push.mIsSnapshot = aRead.mIsSnapshot;
+  push.mIsSnapshot = aRead.mIsSnapshot && !hasWholeRecords;
   push.mAfter = after;
-  push.mEntries = aRead.mIsSnapshot ? CopyEntries(aState) : std::move(entries);
+  push.mEntries = push.mIsSnapshot ? CopyEntries(aState) : std::move(changes);
   PushToZone(aContext, push);
 }
 
@@ -341,24 +444,24 @@
             const NodeId& aFrom,
             const FeedPush& aPush)
 {
-  if (aPush.mEnd < aState.mEnd) {
+  if (aPush.mEnd < aState.mEnd || aPush.mRevision < aState.mRevision) {
     return;
   }
-  bool isContiguous = aPush.mIsSnapshot || aPush.mAfter <= aState.mEnd;
-  if (!isContiguous || (!aState.mIsLoaded && !aPush.mIsSnapshot)) {
-    aContext.mEffects.push_back(
-      SendToPeer{ aFrom, FeedPull{ aState.mSettings.mTopic, aState.mEnd } });
+  if (!aPush.mIsSnapshot && !IsContiguous(aState, aPush)) {
+    RequestChanges(aState, aContext, aFrom);
     return;
   }
   RecordFreshness(aState, aContext.mNow, aContext.mNow - aPush.mAge, aFrom);
   if (aPush.mIsSnapshot) {
     ApplySnapshot(aState, aContext.mNow, aPush.mEnd, aPush.mEntries);
-  } else {
-    for (const FeedEntry& it : aPush.mEntries) {
-      ApplyEntry(aState, aContext.mNow, it);
-    }
+    aState.mRecentDeltas.clear();
+  } else if (!aState.mSettings.mHasWholeRecords ||
+             aPush.mAfter == aState.mEnd) {
+    ApplyEntries(aState, aContext.mNow, aPush.mEntries);
+    RecordDelta(aState, { aPush.mAfter, aPush.mEnd, aPush.mEntries });
   }
   aState.mEnd = aPush.mEnd;
+  aState.mRevision = aPush.mRevision;
   aState.mIsLoaded = true;
   aState.mNeedsFullRead = false;
 }
@@ -373,8 +476,20 @@
     return;
   }
   FeedPush push = MakePush(aState, aContext.mNow);
-  push.mIsSnapshot = true;
-  push.mEntries = CopyEntries(aState);
+  auto delta = std::find_if(
+    aState.mRecentDeltas.begin(),
+    aState.mRecentDeltas.end(),
+    [&](const FeedDelta& aDelta) { return aDelta.mAfter == aPull.mEnd; });
+  if (delta == aState.mRecentDeltas.end()) {
+    push.mIsSnapshot = true;
+    push.mEntries = CopyEntries(aState);
+  } else {
+    push.mAfter = aPull.mEnd;
+    for (; delta != aState.mRecentDeltas.end(); ++delta) {
+      push.mEntries.insert(
+        push.mEntries.end(), delta->mEntries.begin(), delta->mEntries.end());
+    }
+  }
   aContext.mEffects.push_back(SendToPeer{ aFrom, std::move(push) });
 }
 
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -4,7 +4,9 @@
 #include "Effects.h"
 #include "Membership.h"
 
+#include <deque>
 #include <map>
+#include <vector>
 
 namespace vanillascale {
 
@@ -26,6 +28,19 @@
    * use after the outage: their owners could not renew them and may write them
    * again. */
   Duration mOutageGracePeriod{ 0 };
+  /** Each record of the topic replaces all entries of the one before, and has a
+   * revision. The differences between two records then apply only to a copy at
+   * the first of them. */
+  bool mHasWholeRecords = false;
+};
+
+/** The entries that changed between two ends of a topic. An entry without a
+ * value was removed. */
+struct FeedDelta
+{
+  LogOffset mAfter = 0;
+  LogOffset mEnd = 0;
+  std::vector<FeedEntry> mEntries;
 };
 
 /** A node's copy of a keyed topic of the platform's store.
@@ -41,6 +56,14 @@
   std::map<std::string, FeedEntry> mEntries;
   /** All records before this offset have been applied. */
   LogOffset mEnd = 0;
+  /** The revision of the entries, if the topic has revisions. */
+  std::uint64_t mRevision = 0;
+  /** The keys of entries that were added, replaced or removed, in this order.
+   * The owner of the feed clears the list when it has processed it. */
+  std::vector<std::string> mChangedKeys;
+  /** The latest changes, oldest first and without gaps, sent to peers that are
+   * behind. Kept only for topics with whole records. */
+  std::deque<FeedDelta> mRecentDeltas;
   /** The node has a full copy. */
   bool mIsLoaded = false;
   TimePoint mStartedAt{};
@@ -93,16 +116,17 @@
             const FeedContext& aContext,
             const FeedReadResult& aRead);
 
-/** Applies a peer's push. Requests a full copy from the peer if the push does
- * not connect to this node's copy. */
+/** Applies a peer's push. Requests the missing changes from the peer if the
+ * push does not connect to this node's copy. */
 void
 FeedReceive(KeyedFeedState& aState,
             const FeedContext& aContext,
             const NodeId& aFrom,
             const FeedPush& aPush);
 
-/** Sends a full copy to a peer that requests one. Ignores the request if this
- * node has no copy or the peer has read further. */
+/** Sends the changes since the peer's end, or a full copy if they are not
+ * known, to a peer that requests them. Ignores the request if this node has no
+ * copy or the peer has read further. */
 void
 FeedReceive(const KeyedFeedState& aState,
             const FeedContext& aContext,
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -368,11 +368,14 @@
   /** Age of the sender's copy of the topic when the message is sent. */
   Duration mAge{ 0 };
   std::vector<FeedEntry> mEntries;
-  MSGPACK_DEFINE(mTopic, mAfter, mEnd, mIsSnapshot, mAge, mEntries)
+  /** The revision of the sender's copy, if the topic has revisions. */
+  std::uint64_t mRevision = 0;
+  MSGPACK_DEFINE(mTopic, mAfter, mEnd, mIsSnapshot, mAge, mEntries, mRevision)
 };
 
-/** Requests all entries of a keyed topic from a peer. A peer that has read less
- * than mEnd ignores it. */
+/** Requests the entries of a keyed topic that changed after mEnd, or all if the
+ * peer does not know which these are. A peer that has read less than mEnd
+ * ignores it. */
 struct FeedPull
 {
   std::string mTopic;
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -1,9 +1,11 @@
 #include "Node.h"
 
+#include "DocumentEntries.h"
 #include "Duties.h"
 #include "EventNumbers.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace vanillascale {
 
@@ -44,6 +46,7 @@
   settings.mReadInterval = milliseconds(20);
   settings.mWait = milliseconds(800);
   settings.mStaleAfter = milliseconds(1250);
+  settings.mHasWholeRecords = true;
   return settings;
 }
 
@@ -194,45 +197,53 @@
   UpdateServiceTargets(aState.mProxy, aState.mConfig.mConfig, aState.mVms);
 }
 
-/** Puts a document of the feed in force if it is valid and newer than the
- * current one. Logs the outcome. */
+const char*
+OutcomeName(DocumentUpdate aUpdate)
+{
+  switch (aUpdate) {
+    case DocumentUpdate::InForce:
+      return "in_force";
+    case DocumentUpdate::NotNewer:
+      return "not_newer";
+    case DocumentUpdate::Undecodable:
+      return "undecodable";
+  }
+  return "undecodable";
+}
+
+/** Puts the changed entries of the document feed in force. Logs the outcome. */
 void
 ApplyDocuments(NodeState& aState,
                TimePoint aNow,
-               const KeyedFeedState& aFeed,
+               KeyedFeedState& aFeed,
                Effects& aEffects)
 {
+  ConfigState& config = aState.mConfig.mConfig;
+  std::size_t changes = aFeed.mChangedKeys.size();
+  DocumentUpdate update = UpdateDocument(
+    config, aFeed.mEntries, std::exchange(aFeed.mChangedKeys, {}));
   std::string source =
     aFeed.mConfirmedBy.mValue.empty() ? "store" : aFeed.mConfirmedBy.mValue;
   auto ageMs = (aNow - aFeed.mFreshAt) / milliseconds(1);
-  for (const auto& [key, entry] : aFeed.mEntries) {
-    auto document = ParseDocument(entry.mValue);
-    std::string outcome = "in_force";
-    if (!document) {
-      outcome = "invalid place=" + document.error().front().mPointer;
-    } else if (!ReplaceDocument(
-                 aState.mConfig.mConfig, std::move(*document), entry.mOffset)) {
-      outcome = "not_newer";
-    }
-    aEffects.push_back(
-      WriteEvent{ kEventDocumentRead,
-                  "offset=" + std::to_string(entry.mOffset) + " revision=" +
-                    std::to_string(aState.mConfig.mConfig.mDocument.mRevision) +
-                    " source=" + source + " age_ms=" + std::to_string(ageMs) +
-                    " outcome=" + outcome });
-  }
+  aEffects.push_back(WriteEvent{
+    kEventDocumentRead,
+    "offset=" + std::to_string(config.mOffset) +
+      " revision=" + std::to_string(config.mDocument.mRevision) +
+      " changes=" + std::to_string(changes) + " source=" + source +
+      " age_ms=" + std::to_string(ageMs) + " outcome=" + OutcomeName(update) });
 }
 
 /** Applies changes of the document and target feeds to the node. */
 void
 ApplyFeedChanges(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
-  const KeyedFeedState& documents = aState.mFeeds.at(kDocumentTopic);
+  KeyedFeedState& documents = aState.mFeeds.at(kDocumentTopic);
   if (documents.mVersion != aState.mSeenDocumentsVersion) {
     aState.mSeenDocumentsVersion = documents.mVersion;
     ApplyDocuments(aState, aNow, documents, aEffects);
   }
-  const KeyedFeedState& targets = aState.mFeeds.at(kTargetTopic);
+  KeyedFeedState& targets = aState.mFeeds.at(kTargetTopic);
+  targets.mChangedKeys.clear();
   bool isFirst = targets.mIsLoaded && !aState.mHasVms;
   if (targets.mVersion == aState.mSeenTargetsVersion && !isFirst) {
     return;
--- a/src/NodeEvents.h
+++ b/src/NodeEvents.h
@@ -133,6 +133,12 @@
   bool mIsTrimmed = false;
   /** The offset at which the next read continues. */
   LogOffset mEnd = 0;
+  /** More records were available than the read returned. */
+  bool mHasMore = false;
+  /** The revision of the entries, if the topic has revisions; otherwise 0. */
+  std::uint64_t mRevision = 0;
+  /** Why the newest record was skipped; empty if it was not. */
+  std::string mFault;
   std::vector<FeedEntry> mEntries;
 };
 
--- a/test/correctness/StoreIsTranslated.cpp
+++ b/test/correctness/StoreIsTranslated.cpp
@@ -1,4 +1,4 @@
-#include "ConfigFold.h"
+#include "DocumentEntries.h"
 #include "StoreFormat.h"
 
 #include <CppUTest/TestHarness.h>
@@ -45,6 +45,19 @@
   return bytes + content;
 }
 
+/** Puts a whole document in force, as a node without a copy does. */
+bool
+PutInForce(ConfigState& aState, const Document& aDocument, LogOffset aOffset)
+{
+  std::map<std::string, FeedEntry> entries;
+  std::vector<std::string> keys;
+  for (FeedEntry& it : MakeDocumentEntries(aDocument, aOffset)) {
+    keys.push_back(it.mKey);
+    entries[it.mKey] = std::move(it);
+  }
+  return UpdateDocument(aState, entries, keys) == DocumentUpdate::InForce;
+}
+
 } // namespace
 
 TEST_GROUP(Store){};
@@ -79,7 +92,7 @@
 TEST(Store, RoutesAreFoundByHostAndPrefix)
 {
   ConfigState state;
-  CHECK(ReplaceDocument(state, *TranslateConfig(kConfig, "production", {}), 0));
+  CHECK(PutInForce(state, *TranslateConfig(kConfig, "production", {}), 0));
   const Route* route = FindRoute(state, "PUT", "/pufi/2f?x=/a", "FICU.example");
   CHECK(route != nullptr);
   STRCMP_EQUAL("r-1", route->mName.mValue.c_str());
@@ -91,12 +104,12 @@
 {
   ConfigState state;
   auto document = TranslateConfig(kConfig, "production", {});
-  CHECK(ReplaceDocument(state, *document, 5));
+  CHECK(PutInForce(state, *document, 5));
   document->mRevision = 11;
-  CHECK(!ReplaceDocument(state, *document, 6));
+  CHECK(!PutInForce(state, *document, 6));
   document->mRevision = 13;
-  CHECK(!ReplaceDocument(state, *document, 4));
-  CHECK(ReplaceDocument(state, *document, 7));
+  CHECK(!PutInForce(state, *document, 4));
+  CHECK(PutInForce(state, *document, 7));
 }
 
 TEST(Store, InvalidConfigurationsAreRejected)
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -25,6 +25,10 @@
   std::vector<Event> mDeferredEvents;
   std::uint64_t mSentBytes = 0;
   std::uint64_t mSentMessages = 0;
+  /** When the link has sent and received all bytes so far, if its bandwidth is
+   * limited. */
+  TimePoint mSendFreeAt{};
+  TimePoint mReceiveFreeAt{};
 };
 
 /** Properties of a request that a test submits. */
@@ -46,9 +50,13 @@
   using RunHook =
     std::function<void(std::size_t, RequestId, const TargetId&, TargetOutcome)>;
 
-  FakeFleet(std::size_t aNodes, std::size_t aZones, std::uint64_t aSeed)
+  FakeFleet(std::size_t aNodes,
+            std::size_t aZones,
+            std::uint64_t aSeed,
+            ConfigSource aSource = ConfigSource::ChangeStream)
     : mRandom(aSeed)
     , mZones(aZones)
+    , mSource(aSource)
   {
     for (std::size_t i = 0; i < aNodes; ++i) {
       mNodes.push_back(std::make_unique<FakeNode>());
@@ -101,6 +109,11 @@
     options.mVmGroup = "proxies";
     options.mIncarnation = 1000 * ++node.mProcessGeneration;
     options.mSeed = mRandom();
+    options.mSource = mSource;
+    if (mSource == ConfigSource::KeyedFeeds) {
+      // There is no VM list that introduces the nodes to each other.
+      options.mSeeds = { NodeId(NodeName(0)), NodeId(NodeName(1)) };
+    }
     mIndex[options.mSelf] = aIndex;
     node.mState = NodeState::Make(options, Now());
     node.mIsDead = false;
@@ -160,6 +173,14 @@
     return WallTime(milliseconds(kStartWallMs) + ms);
   }
   void RunFor(Duration aTime) { mQueue.RunUntil(Now() + aTime); }
+  /** Returns how long a node's link takes to receive bytes from the platform.
+   */
+  Duration ReceiveOnLink(std::size_t aNode, std::size_t aBytes)
+  {
+    return mLinkBytesPerSecond > 0
+             ? Transfer(mNodes[aNode]->mReceiveFreeAt, aBytes)
+             : Duration(0);
+  }
 
   /** Returns whether a message from one node to another is lost. Tests replace
    * it. */
@@ -183,6 +204,12 @@
   VirtualTimeQueue mQueue;
   Random mRandom;
   std::size_t mZones;
+  ConfigSource mSource;
+  /** The bandwidth of each node's link in each direction, in bytes per second;
+   * 0 if it is not limited. */
+  double mLinkBytesPerSecond = 0;
+  /** A message that a limited link cannot send in this time is lost. */
+  Duration mMaxLinkDelay = seconds(3);
   Duration mLinkDelay = microseconds(250);
   std::vector<std::unique_ptr<FakeNode>> mNodes;
   std::map<TargetId, std::unique_ptr<FakeTarget>> mTargets;
@@ -224,9 +251,29 @@
       node.mSentBytes += Encode("test", envelope).size();
       ++node.mSentMessages;
     }
-    if (to != SIZE_MAX && !mIsLost(aFrom, to, envelope.mMessage)) {
-      PostAfter(to, mLinkDelay, PeerMessageReceived{ std::move(envelope) });
+    if (to == SIZE_MAX || mIsLost(aFrom, to, envelope.mMessage)) {
+      return;
+    }
+    Duration delay = mLinkDelay;
+    if (mLinkBytesPerSecond > 0) {
+      std::size_t bytes = Encode("test", envelope).size();
+      delay += std::max(Transfer(node.mSendFreeAt, bytes),
+                        Transfer(mNodes[to]->mReceiveFreeAt, bytes));
     }
+    if (delay < mMaxLinkDelay) {
+      PostAfter(to, delay, PeerMessageReceived{ std::move(envelope) });
+    }
+  }
+
+  /** Appends bytes to those that one direction of a link transfers, and returns
+   * how long they take from now on. */
+  Duration Transfer(TimePoint& aFreeAt, std::size_t aBytes) const
+  {
+    aFreeAt =
+      std::max(aFreeAt, Now()) +
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+        static_cast<double>(aBytes) / mLinkBytesPerSecond));
+    return aFreeAt - Now();
   }
 
   void Run(std::size_t aFrom, SendToTarget& aEffect)
