Date a copy by when its read was started, not by when the answer was processed

What callers would see: a zone that copies from a reader which is slow or was suspended believes its copy to be fresh and does not read the store itself, so that a configuration is late there.

Cause: the reader stamped its copy with the time at which it processed an answer, however old that was, and passed age 0 on to its zone. Class: an age that is measured at the end of the path instead of at its source.

Change: a read confirms the copy as of its start; one that waited and brought nothing, as of the end of its wait. The wait shrinks with the age of the copy, so that confirmations keep their rhythm after a change.

Evidence: AreNotFreshByAnOldAnswerThatIsProcessedLate and AreConfirmedAtTheEndOfAWaitWithoutNewRecords fail on the code before (mFreshAt 2 s too late; wait 800 ms at age 450 ms) and pass now.

--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -67,7 +67,14 @@
   read.mTopic = aState.mSettings.mTopic;
   read.mIsSnapshot = aState.mNeedsFullRead;
   read.mFrom = aState.mEnd;
-  read.mWait = aState.mNeedsFullRead ? Duration(0) : aState.mSettings.mWait;
+  // A read without new records confirms the copy at the end of its wait, so the
+  // wait is shorter the older the copy is.
+  Duration age = aContext.mNow - aState.mFreshAt;
+  if (!aState.mNeedsFullRead) {
+    read.mWait = std::max(aState.mSettings.mWait - age, Duration(0));
+  }
+  aState.mReadStartedAt = aContext.mNow;
+  aState.mReadWait = read.mWait;
   aContext.mEffects.push_back(std::move(read));
 }
 
@@ -247,6 +254,19 @@
   return ApplySnapshot(aState, aNow, aRead.mEnd, aRead.mEntries);
 }
 
+/** Returns the latest time at which the store is known to have held what a read
+ * returned. The answer may be much older than its arrival, if this node was
+ * slow or suspended or the answer was delayed. */
+TimePoint
+ConfirmedAt(const KeyedFeedState& aState,
+            TimePoint aNow,
+            const FeedReadResult& aRead)
+{
+  bool hasWaited = !aRead.mIsSnapshot && aRead.mEnd == aState.mEnd &&
+                   aNow - aState.mReadStartedAt >= aState.mReadWait;
+  return aState.mReadStartedAt + (hasWaited ? aState.mReadWait : Duration(0));
+}
+
 /** Records that aSource has confirmed that the copy matched the store at
  * aFreshAt, and detects the end of an outage. An empty aSource is the store. */
 void
@@ -416,7 +436,8 @@
   }
   FeedPush push;
   push.mAfter = aState.mEnd;
-  RecordFreshness(aState, aContext.mNow, aContext.mNow, NodeId());
+  RecordFreshness(
+    aState, aContext.mNow, ConfirmedAt(aState, aContext.mNow, aRead), NodeId());
   std::vector<FeedEntry> changes = ApplyRead(aState, aContext.mNow, aRead);
   aState.mEnd = std::max(aState.mEnd, aRead.mEnd);
   bool wasLoaded = aState.mIsLoaded;
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -72,6 +72,10 @@
   /** The peer that the copy was last confirmed by; empty for the store. */
   NodeId mConfirmedBy;
   bool mIsReading = false;
+  /** When the current or last read was started, and how long it may wait for a
+   * new record. */
+  TimePoint mReadStartedAt{};
+  Duration mReadWait{ 0 };
   /** The next read has to return all entries, not only the changed ones. */
   bool mNeedsFullRead = true;
   TimePoint mNextReadAt{};
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -35,8 +35,12 @@
     FeedTick(mFeed, { aNow, mMembers, mRandom, effects });
     return effects;
   }
+  /** Ends the current read, or one that takes no time if there is none. */
   Effects Read(TimePoint aNow, const FeedReadResult& aRead)
   {
+    if (!mFeed.mIsReading) {
+      mFeed.mReadStartedAt = aNow;
+    }
     Effects effects;
     FeedReceive(mFeed, { aNow, mMembers, mRandom, effects }, aRead);
     return effects;
@@ -226,3 +230,48 @@
   LONGS_EQUAL(0, CountReads(node.Tick(kStart + milliseconds(1190))));
   LONGS_EQUAL(1, CountReads(node.Tick(kStart + milliseconds(1200))));
 }
+
+/** Guards against a reader that was suspended or slow and passes on an old
+ * answer as a fresh copy: its zone then did not read the store itself in time.
+ */
+TEST(KeyedFeeds, AreNotFreshByAnOldAnswerThatIsProcessedLate)
+{
+  FeedNode node;
+  MemberUpdate peer{
+    NodeId("10.0.0.2:1"), ZoneName("z"), 1, MemberStatus::Alive
+  };
+  Effects effects;
+  MembershipReceive(
+    node.mMembers, kStart, peer.mNode, Ping{ 1, 0, { peer } }, effects);
+  node.mFeed.mSettings.mWait = milliseconds(800);
+  node.Tick(kStart);
+  node.Read(kStart + milliseconds(4), FullRead(2, { { "a", 0, "A" } }));
+  // The node may be of any rank: a copy of this age is read at all of them.
+  TimePoint readAt = kStart + milliseconds(1900);
+  LONGS_EQUAL(1, CountReads(node.Tick(readAt)));
+  TimePoint resumedAt = readAt + seconds(2);
+  effects = node.Read(resumedAt, DeltaRead(2, {}));
+  CHECK(node.mFeed.mFreshAt <= readAt + milliseconds(800));
+  bool isPushed = false;
+  for (const Effect& it : effects) {
+    if (const auto* send = std::get_if<SendToPeer>(&it)) {
+      isPushed = true;
+      CHECK(std::get<FeedPush>(send->mMessage).mAge >= milliseconds(1200));
+    }
+  }
+  CHECK(isPushed);
+}
+
+TEST(KeyedFeeds, AreConfirmedAtTheEndOfAWaitWithoutNewRecords)
+{
+  FeedNode node;
+  node.mFeed.mSettings.mWait = milliseconds(800);
+  node.Tick(kStart);
+  node.Read(kStart, FullRead(2, { { "a", 0, "A" } }));
+  TimePoint readAt = kStart + milliseconds(450);
+  Effects effects = node.Tick(readAt);
+  Duration wait = std::get<ReadFeed>(effects.front()).mWait;
+  CHECK(wait == milliseconds(350));
+  node.Read(readAt + wait + milliseconds(5), DeltaRead(2, {}));
+  CHECK(node.mFeed.mFreshAt == readAt + wait);
+}
