Keep the request limits that targets state, in the scheduler and in fallback

Nothing decoded the header, so a limited target got its share by its slots. Class: a statement of a peer that no part of the system is responsible for.

Change: the dialect decodes Server-Limit into TargetStatements, which a target's answer carries to the proxy and its lease report to the scheduler. The scheduler keeps a token bucket for each limited target (RequestLimit) that every grant takes from. A new scheduler learns the limits from the LeaseSync of the proxies that heard them, before their first request, and starts without tokens. A proxy in fallback uses an equal share of the limit and starts with a random fraction of a token, so that the proxies together keep to the rate. An answer to a later request without the header lifts the limit; 30 s without any also do. Admission counts with what the limits let through (ServiceRate), so that what can't be served is refused at once. Events 507 and 508, limited_targets in SlotRefused and as a metric.

--- a/src/Dialects.cpp
+++ b/src/Dialects.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace vanillascale {
@@ -73,6 +74,39 @@
          (aDialect.mNotRunValue.empty() || *value == aDialect.mNotRunValue);
 }
 
+/** Parses a decimal number that is not negative. Returns nothing if the text is
+ * anything else. */
+std::optional<double>
+ParseRate(const std::string& aText)
+{
+  double rate = 0;
+  const char* end = aText.data() + aText.size();
+  auto [stop, ec] =
+    std::from_chars(aText.data(), end, rate, std::chars_format::fixed);
+  bool isRate =
+    ec == std::errc() && stop == end && std::isfinite(rate) && rate >= 0;
+  return isRate ? std::make_optional(rate) : std::nullopt;
+}
+
+/** Reads what a target states of itself. Of several limits the lowest counts;
+ * unreadable ones are ignored. */
+TargetStatements
+ReadStatements(const TargetDialect& aDialect, const HttpResponse& aResponse)
+{
+  TargetStatements statements;
+  for (const Header& it : aResponse.mHeaders) {
+    if (!aDialect.mRequestLimit.empty() &&
+        IsSameName(it.mName, aDialect.mRequestLimit)) {
+      auto rate = ParseRate(it.mValue);
+      if (rate) {
+        statements.mRequestLimit =
+          std::min(statements.mRequestLimit.value_or(*rate), *rate);
+      }
+    }
+  }
+  return statements;
+}
+
 std::string
 FormatRetryAfter(const CallerDialect& aDialect, Duration aTime)
 {
@@ -158,9 +192,13 @@
                       FindHeader(aResponse.mHeaders, aDialect.mDraining);
     bool isOther =
       aDialect.mHasMisdirected && aResponse.mStatus == kStatusMisdirected;
-    return { isDraining || isOther ? TargetOutcome::Draining
-                                   : TargetOutcome::Shed,
-             nullptr };
+    TargetResult result;
+    result.mOutcome =
+      isDraining || isOther ? TargetOutcome::Draining : TargetOutcome::Shed;
+    if (!isOther) {
+      result.mStatements = ReadStatements(aDialect, aResponse);
+    }
+    return result;
   }
   bool isSigned = aDialect.mSignature.empty() ||
                   FindHeader(aResponse.mHeaders, aDialect.mSignature);
@@ -170,8 +208,9 @@
   bool isFalsePromise =
     !aDialect.mSignature.empty() && PromisesNotRun(aResponse.mStatus);
   if (isForeign || isFalsePromise) {
-    return { TargetOutcome::Broken, nullptr };
+    return { TargetOutcome::Broken, nullptr, std::nullopt };
   }
+  TargetStatements statements = ReadStatements(aDialect, aResponse);
   auto answer = std::make_shared<Answer>();
   answer->mStatus = aResponse.mStatus;
   for (const Header& it : aResponse.mHeaders) {
@@ -182,7 +221,8 @@
   answer->mBody = std::move(aResponse.mBody);
   bool isError = answer->mStatus >= kFirstServerError;
   return { isError ? TargetOutcome::ServerError : TargetOutcome::Answered,
-           std::move(answer) };
+           std::move(answer),
+           statements };
 }
 
 bool
--- a/src/Dialects.h
+++ b/src/Dialects.h
@@ -46,6 +46,9 @@
   /** Proves that an answer is the target's own. A success without it is not
    * passed on. */
   std::string mSignature;
+  /** States the requests per second that the target accepts from all proxies
+   * together, as a decimal number. */
+  std::string mRequestLimit;
   /** 421 is answered by another instance, which did not run the request. */
   bool mHasMisdirected = false;
   /** Closing the connection ends the work; else /cancel has to be called. */
@@ -60,6 +63,8 @@
 {
   TargetOutcome mOutcome = TargetOutcome::Broken;
   std::shared_ptr<const Answer> mAnswer;
+  /** Empty if the answer is not the target's own. */
+  std::optional<TargetStatements> mStatements;
 };
 
 /** Describes a caller's request to the core. Pure. */
--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -68,6 +68,10 @@
       return "PathAvoided";
     case kEventRequestQuarantined:
       return "RequestQuarantined";
+    case kEventTargetLimited:
+      return "TargetLimited";
+    case kEventTargetUnlimited:
+      return "TargetUnlimited";
     case kEventLogAway:
       return "LogAway";
     case kEventLogBack:
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -41,6 +41,8 @@
 constexpr int kEventReturnedForFloor = 504;
 constexpr int kEventPathAvoided = 505;
 constexpr int kEventRequestQuarantined = 506;
+constexpr int kEventTargetLimited = 507;
+constexpr int kEventTargetUnlimited = 508;
 
 constexpr int kEventLogAway = 600;
 constexpr int kEventLogBack = 601;
--- a/src/LocalBalancer.cpp
+++ b/src/LocalBalancer.cpp
@@ -18,6 +18,13 @@
   return !aTarget.mIsLeaving && aNow >= aTarget.mOutOfUseUntil;
 }
 
+/** The share of a target's limit that one of aProxies proxies uses. */
+double
+LimitShare(std::size_t aProxies)
+{
+  return kWholeLimit / static_cast<double>(std::max<std::size_t>(aProxies, 1));
+}
+
 } // namespace
 
 void
@@ -90,7 +97,8 @@
        ++it) {
     const LocalBalancerTarget& target = it->second;
     bool isOpen = IsUsable(target, aNow) && it->first != aAvoid &&
-                  target.mInFlight < target.mSlots;
+                  target.mInFlight < target.mSlots &&
+                  AllowsRequest(target.mLimit, aNow, LimitShare(aProxies));
     if (isOpen) {
       (IsPenalized(target.mPenalty, aNow) ? penalized : unpenalized)
         .push_back(it);
@@ -107,6 +115,49 @@
   return isFirst ? first->first : second->first;
 }
 
+void
+TakeLocalToken(LocalBalancer& aBalancer,
+               TimePoint aNow,
+               std::size_t aProxies,
+               const TargetId& aTarget)
+{
+  auto it = aBalancer.mTargets.find(aTarget);
+  if (it != aBalancer.mTargets.end()) {
+    TakeToken(it->second.mLimit, aNow, LimitShare(aProxies));
+  }
+}
+
+void
+RecordStatements(LocalBalancer& aBalancer,
+                 TimePoint aNow,
+                 const TargetId& aTarget,
+                 TimePoint aSentAt,
+                 const TargetStatements& aStatements,
+                 Random& aRandom)
+{
+  auto it = aBalancer.mTargets.find(aTarget);
+  if (it == aBalancer.mTargets.end()) {
+    return;
+  }
+  // The proxies start with different numbers of tokens, so that together they
+  // send at the rate of the limit from the start instead of all at once.
+  double tokens = aRandom() / 4294967296.0;
+  ExpireLimit(it->second.mLimit, aNow);
+  ApplyStatements(it->second.mLimit, aNow, aSentAt, aStatements, tokens);
+}
+
+std::vector<StatedTarget>
+StatementsOf(const LocalBalancer& aBalancer)
+{
+  std::vector<StatedTarget> targets;
+  for (const auto& [id, target] : aBalancer.mTargets) {
+    if (target.mLimit.mPerSecond) {
+      targets.push_back({ id, { target.mLimit.mPerSecond } });
+    }
+  }
+  return targets;
+}
+
 void
 RecordSent(LocalBalancer& aBalancer, const TargetId& aTarget)
 {
--- a/src/LocalBalancer.h
+++ b/src/LocalBalancer.h
@@ -22,6 +22,8 @@
   unsigned mInFlight = 0;
   /** The failures of this proxy's own requests. */
   FailurePenalty mPenalty;
+  /** The limit that the target stated to this proxy. */
+  RequestLimit mLimit;
 };
 
 /** The load balancer of a proxy for the time when no scheduler answers. Of two
@@ -56,7 +58,8 @@
                     std::size_t aProxies);
 
 /** Returns a target other than aAvoid, or nothing if the proxy's share is used
- * up or no usable target has a free slot. */
+ * up or no usable target has a free slot. Of a target's limit a proxy uses an
+ * equal share. */
 std::optional<TargetId>
 PickLocalTarget(const LocalBalancer& aBalancer,
                 TimePoint aNow,
@@ -64,6 +67,27 @@
                 const TargetId& aAvoid,
                 Random& aRandom);
 
+/** Records that a request is sent to a target that PickLocalTarget returned. */
+void
+TakeLocalToken(LocalBalancer& aBalancer,
+               TimePoint aNow,
+               std::size_t aProxies,
+               const TargetId& aTarget);
+
+/** Applies what a target stated in its answer to a request that was sent at
+ * aSentAt. */
+void
+RecordStatements(LocalBalancer& aBalancer,
+                 TimePoint aNow,
+                 const TargetId& aTarget,
+                 TimePoint aSentAt,
+                 const TargetStatements& aStatements,
+                 Random& aRandom);
+
+/** Returns the targets with a limit, for a new scheduler. */
+std::vector<StatedTarget>
+StatementsOf(const LocalBalancer& aBalancer);
+
 /** Records that a request was sent to a target. */
 void
 RecordSent(LocalBalancer& aBalancer, const TargetId& aTarget);
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -4,6 +4,7 @@
 #include "Clock.h"
 #include "Ids.h"
 #include "MsgpackTypes.h"
+#include "TargetStatements.h"
 
 #include <cstdint>
 #include <string>
@@ -176,7 +177,9 @@
   TargetOutcome mOutcome = TargetOutcome::Answered;
   /** Time from sending the request to the end of the answer. */
   Duration mLatency{ 0 };
-  MSGPACK_DEFINE(mService, mLease, mOutcome, mLatency)
+  /** What the target stated of itself in its answer, if there was one. */
+  std::optional<TargetStatements> mStatements;
+  MSGPACK_DEFINE(mService, mLease, mOutcome, mLatency, mStatements)
 };
 
 /** Asks a proxy whether it still holds the given long-running leases. The proxy
@@ -199,13 +202,22 @@
   MSGPACK_DEFINE(mLease, mTarget, mIsLong, mDeadline)
 };
 
-/** Reports the leases that the sender holds to the new scheduler of a service.
- */
+/** A target and what it last stated of itself. */
+struct StatedTarget
+{
+  TargetId mTarget;
+  TargetStatements mStatements;
+  MSGPACK_DEFINE(mTarget, mStatements)
+};
+
+/** Reports to the new scheduler of a service the leases that the sender holds,
+ * and the targets that state limits. */
 struct LeaseSync
 {
   ServiceName mService;
   std::vector<HeldLease> mLeases;
-  MSGPACK_DEFINE(mService, mLeases)
+  std::vector<StatedTarget> mStatements;
+  MSGPACK_DEFINE(mService, mLeases, mStatements)
 };
 
 /** Tells proxies which targets of a service its scheduler keeps out of use.
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -289,7 +289,8 @@
                        mNow,
                        mFrom,
                        FindZone(mState, mFrom),
-                       aMessage);
+                       aMessage,
+                       mEffects);
     }
   }
   void operator()(const LeaseReport& aMessage)
--- a/src/NodeEvents.h
+++ b/src/NodeEvents.h
@@ -53,6 +53,8 @@
   RequestId mRequest = 0;
   TargetOutcome mOutcome = TargetOutcome::Answered;
   std::shared_ptr<const Answer> mAnswer;
+  /** What the target states of itself; empty without an answer of its own. */
+  std::optional<TargetStatements> mStatements;
 };
 
 /** A message from a peer has been received. */
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -146,6 +146,11 @@
            "Slots in use by long requests",
            BusyLongSlots(aScheduler.mPool),
            labels);
+  AddGauge(aRegistry,
+           "vanillascale_limited_targets",
+           "Targets that state a limit on their requests",
+           static_cast<double>(CountLimitedTargets(aScheduler.mPool)),
+           labels);
   for (const auto& [id, target] : aScheduler.mPool.mTargets) {
     Labels targetLabels = labels;
     targetLabels["target"] = id.mValue;
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -224,7 +224,7 @@
   if (!request || request->mStage != RequestStage::Sent) {
     return;
   }
-  ReturnLease(aState, aContext, *request, aEnded.mOutcome);
+  ReturnLease(aState, aContext, *request, aEnded.mOutcome, aEnded.mStatements);
   if (aEnded.mOutcome != TargetOutcome::Answered) {
     LogFailedSend(aContext, *request, aEnded.mOutcome);
   }
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -111,7 +111,8 @@
                                    request.mDeadlineAt - aContext.mNow });
         }
       }
-      if (!sync.mLeases.empty()) {
+      sync.mStatements = StatementsOf(link.mLocalChoice);
+      if (!sync.mLeases.empty() || !sync.mStatements.empty()) {
         aContext.mEffects.push_back(SendToPeer{ owner, std::move(sync) });
       }
     }
@@ -179,6 +180,7 @@
       ? aLink.mRetryTokens - 1
       : std::min(aLink.mRetryTokens + kLocalRetryRatio, kMaxLocalRetryTokens);
   ++aState.mCounters.mFallbackSends;
+  TakeLocalToken(aLink.mLocalChoice, aContext.mNow, proxyCount, *target);
   // The scheduler may have granted the lease in a message that was lost. It
   // must not hold the slot for a request that is sent elsewhere.
   WithdrawLeaseRequest(aContext, aRequest);
@@ -364,7 +366,8 @@
 ReturnLease(ProxyState& aState,
             const ProxyContext& aContext,
             ProxyRequest& aRequest,
-            TargetOutcome aOutcome)
+            TargetOutcome aOutcome,
+            const std::optional<TargetStatements>& aStatements)
 {
   SchedulerLink& link =
     UpdateSchedulerLink(aState, aContext, aRequest.mService);
@@ -373,10 +376,19 @@
               aRequest.mTarget,
               aRequest.mSentAt,
               aOutcome);
+  if (aStatements) {
+    RecordStatements(link.mLocalChoice,
+                     aContext.mNow,
+                     aRequest.mTarget,
+                     aRequest.mSentAt,
+                     *aStatements,
+                     aContext.mRandom);
+  }
   LeaseReport report;
   report.mService = aRequest.mService;
   report.mLease = aRequest.mLease;
   report.mOutcome = aOutcome;
+  report.mStatements = aStatements;
   report.mLatency = aContext.mNow - aRequest.mSentAt;
   RecordLatency(aState.mCounters.mTargetTime, report.mLatency);
   aRequest.mReportedLease = aRequest.mLease;
--- a/src/ProxyLeases.h
+++ b/src/ProxyLeases.h
@@ -23,12 +23,13 @@
                const TargetId& aTarget);
 
 /** Returns a sent request's lease to the scheduler and reports the result of
- * the send. */
+ * the send, with what the target stated of itself if it answered. */
 void
 ReturnLease(ProxyState& aState,
             const ProxyContext& aContext,
             ProxyRequest& aRequest,
-            TargetOutcome aOutcome);
+            TargetOutcome aOutcome,
+            const std::optional<TargetStatements>& aStatements);
 
 /** Reports to a scheduler that a granted lease is not used. */
 void
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -221,9 +221,19 @@
                  TimePoint aNow,
                  const NodeId& aFrom,
                  const ZoneName& aZone,
-                 const LeaseSync& aSync)
+                 const LeaseSync& aSync,
+                 Effects& aEffects)
 {
   RecordClient(aState, aNow, aFrom, aZone);
+  for (const StatedTarget& it : aSync.mStatements) {
+    // The sender's knowledge may be old: it sets limits, but lifts none.
+    if (it.mStatements.mRequestLimit) {
+      LogTargetChanges(
+        aState,
+        RecordStatements(aState.mPool, aNow, it.mTarget, aNow, it.mStatements),
+        aEffects);
+    }
+  }
   for (const HeldLease& it : aSync.mLeases) {
     auto target = aState.mPool.mTargets.find(it.mTarget);
     bool isKnown = aState.mLeases.count(it.mLease) > 0;
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -153,14 +153,15 @@
                  const NodeId& aFrom,
                  const LeaseWithdrawal& aWithdrawal);
 
-/** Adds leases that another scheduler granted, as their holder reports them.
- * Skips those of unknown targets. */
+/** Adds leases that another scheduler granted, and the limits of targets, as
+ * their holder reports them. Skips those of unknown targets. */
 void
 SchedulerReceive(SchedulerState& aState,
                  TimePoint aNow,
                  const NodeId& aFrom,
                  const ZoneName& aZone,
-                 const LeaseSync& aSync);
+                 const LeaseSync& aSync,
+                 Effects& aEffects);
 
 /** Performs the periodic work: refuses requests that have waited too long, ends
  * expired leases, records slow and stalled requests against their targets and
--- a/src/SchedulerAdmission.cpp
+++ b/src/SchedulerAdmission.cpp
@@ -47,11 +47,14 @@
   if (aRequest.mIsLong) {
     return false;
   }
-  unsigned slots = std::max(OpenSlots(aState.mPool, aNow), 1U);
+  Duration slotTime = ExpectedSlotTime(aState);
   std::size_t ahead =
     CountUpToPriority(aState.mQueue, false, aRequest.mPriority);
-  Duration wait = ExpectedSlotTime(aState) * static_cast<int>(ahead) /
-                  static_cast<int>(slots);
+  double slotRate = 1 / std::chrono::duration<double>(slotTime).count();
+  // Without a usable target the wait is that of a single slot.
+  double rate = ServiceRate(aState.mPool, aNow, slotTime);
+  std::chrono::duration<double> wait(static_cast<double>(ahead) /
+                                     (rate > 0 ? rate : slotRate));
   return wait > aMaxWait;
 }
 
@@ -128,6 +131,7 @@
       " reason=" + ReasonName(aReason) + " asked_by=" + aProxy.mValue +
       " queued=" + std::to_string(aState.mQueue.mEntries.size()) +
       " open_slots=" + std::to_string(OpenSlots(aState.mPool, aNow)) +
+      " limited_targets=" + std::to_string(CountLimitedTargets(aState.mPool)) +
       " leases=" + std::to_string(aState.mLeases.size()) +
       " retry_tokens=" + std::to_string(aState.mRetryTokens) });
   aEffects.push_back(
--- a/src/SchedulerEvidence.cpp
+++ b/src/SchedulerEvidence.cpp
@@ -158,6 +158,15 @@
               Effects& aEffects)
 {
   UpdatePenalty(aState, aNow, aLease, aReport);
+  if (aReport.mStatements) {
+    LogTargetChanges(aState,
+                     RecordStatements(aState.mPool,
+                                      aNow,
+                                      aLease.mTarget,
+                                      aLease.mGrantedAt,
+                                      *aReport.mStatements),
+                     aEffects);
+  }
   bool isServed = aReport.mOutcome == TargetOutcome::Answered;
   bool isUnserved = aReport.mOutcome == TargetOutcome::ServerError ||
                     aReport.mOutcome == TargetOutcome::Broken ||
--- a/src/SchedulerPlacement.cpp
+++ b/src/SchedulerPlacement.cpp
@@ -40,6 +40,7 @@
   PooledTarget& target = aState.mPool.mTargets[aTarget];
   ++(request.mIsLong ? target.mBusyLongSlots : target.mBusyShortSlots);
   target.mLastRequestAt = aNow;
+  TakeToken(target.mLimit, aNow);
   LeaseId id = (aState.mEpoch << kEpochShift) | ++aState.mLeaseCount;
   ActiveLease lease;
   lease.mHolder = queued.mProxy;
--- a/src/TargetChoice.cpp
+++ b/src/TargetChoice.cpp
@@ -176,7 +176,8 @@
   for (const auto& [id, target] : aPool.mTargets) {
     bool isExcluded = IsLeavingOrDraining(target, aNow) ||
                       id == aDemand.mAvoidedTarget ||
-                      IsAvoidedFrom(target, aNow, aDemand.mZone);
+                      IsAvoidedFrom(target, aNow, aDemand.mZone) ||
+                      !AllowsRequest(target.mLimit, aNow);
     if (isExcluded) {
       continue;
     }
--- a/src/TargetClient.cpp
+++ b/src/TargetClient.cpp
@@ -122,7 +122,7 @@
   if (aResult.mEnd == ExchangeEnd::Complete) {
     aCallback(InterpretAnswer(mDialect, std::move(aResult.mResponse)));
   } else {
-    aCallback({ OutcomeOf(aResult.mEnd), nullptr });
+    aCallback({ OutcomeOf(aResult.mEnd), nullptr, std::nullopt });
   }
 }
 
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -294,6 +294,52 @@
   return n;
 }
 
+double
+ServiceRate(const TargetPool& aPool, TimePoint aNow, Duration aSlotTime)
+{
+  double perSlot = 1 / std::chrono::duration<double>(aSlotTime).count();
+  double rate = 0;
+  for (const auto& [id, target] : aPool.mTargets) {
+    if (IsUsable(target, aNow)) {
+      double bySlots = perSlot * OpenSlotsOf(target, aNow);
+      rate += std::min(bySlots, target.mLimit.mPerSecond.value_or(bySlots));
+    }
+  }
+  return rate;
+}
+
+std::size_t
+CountLimitedTargets(const TargetPool& aPool)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aPool.mTargets.begin(), aPool.mTargets.end(), [](const auto& aEntry) {
+      return aEntry.second.mLimit.mPerSecond.has_value();
+    }));
+}
+
+std::vector<PoolChange>
+RecordStatements(TargetPool& aPool,
+                 TimePoint aNow,
+                 const TargetId& aTarget,
+                 TimePoint aSentAt,
+                 const TargetStatements& aStatements)
+{
+  auto it = aPool.mTargets.find(aTarget);
+  if (it == aPool.mTargets.end()) {
+    return {};
+  }
+  RequestLimit& limit = it->second.mLimit;
+  if (!ApplyStatements(limit, aNow, aSentAt, aStatements)) {
+    return {};
+  }
+  if (!limit.mPerSecond) {
+    return { { aTarget, kEventTargetUnlimited, "reason=stated" } };
+  }
+  return { { aTarget,
+             kEventTargetLimited,
+             "per_second=" + std::to_string(*limit.mPerSecond) } };
+}
+
 std::vector<TargetId>
 TargetsOutOfUse(const TargetPool& aPool, TimePoint aNow)
 {
@@ -332,7 +378,8 @@
   return std::any_of(
     aPool.mTargets.begin(), aPool.mTargets.end(), [&](const auto& aEntry) {
       return IsUsable(aEntry.second, aNow) &&
-             !IsPenalized(aEntry.second.mPenalty, aNow);
+             !IsPenalized(aEntry.second.mPenalty, aNow) &&
+             AllowsRequest(aEntry.second.mLimit, aNow);
     });
 }
 
@@ -433,6 +480,9 @@
       target.mTrialScores = {};
       changes.push_back({ id, kEventTrialStarted, "" });
     }
+    if (ExpireLimit(target.mLimit, aNow)) {
+      changes.push_back({ id, kEventTargetUnlimited, "reason=expired" });
+    }
   }
   RestoreFloor(aPool, aNow, changes);
   return changes;
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -67,6 +67,8 @@
   TimePoint mReportedWarmUpUntil{};
   /** When a request was last sent to the target. */
   TimePoint mLastRequestAt{};
+  /** The limit that the target stated. */
+  RequestLimit mLimit;
   /** Nodes that failed to connect to the target, each with the time until which
    * its requests prefer other targets. */
   std::map<NodeId, TimePoint> mUnreachableFrom;
@@ -151,6 +153,25 @@
 unsigned
 OpenSlots(const TargetPool& aPool, TimePoint aNow);
 
+/** Returns the requests per second that the usable targets can serve if each
+ * takes aSlotTime of a slot: a target with a limit serves no more than that.
+ * Precondition: aSlotTime is positive. */
+double
+ServiceRate(const TargetPool& aPool, TimePoint aNow, Duration aSlotTime);
+
+/** Returns the number of targets that state a limit. */
+std::size_t
+CountLimitedTargets(const TargetPool& aPool);
+
+/** Applies what a target stated in its answer to a request that was sent at
+ * aSentAt. Returns the changes made. */
+std::vector<PoolChange>
+RecordStatements(TargetPool& aPool,
+                 TimePoint aNow,
+                 const TargetId& aTarget,
+                 TimePoint aSentAt,
+                 const TargetStatements& aStatements);
+
 /** Returns the targets that are ejected, on trial or draining. Leaving targets
  * are not included. */
 std::vector<TargetId>
--- a/test/correctness/MessagesAreDecoded.cpp
+++ b/test/correctness/MessagesAreDecoded.cpp
@@ -21,7 +21,10 @@
   request.mService = ServiceName("ledger");
   request.mDeadline = Duration(2000000);
   LeaseSync sync{ ServiceName("ledger"),
-                  { { 7, TargetId("t:1"), true, Duration(5) } } };
+                  { { 7, TargetId("t:1"), true, Duration(5) } },
+                  { { TargetId("t:2"), { 1.5 } } } };
+  LeaseReport report;
+  report.mStatements = TargetStatements{ 2.5 };
   ConfigPush push{ 1, 2, "", { { 2, 3, "payload" } } };
   CachedAnswerReply reply{
     4,
@@ -36,7 +39,7 @@
            LeaseGrant{ 6, 7, TargetId("t:1"), Duration(8) },
            LeaseRefusal{ 9, RefusalReason::NoTarget },
            LeaseWithdrawal{ ServiceName("ledger"), 10 },
-           LeaseReport{},
+           report,
            sync,
            TargetView{ ServiceName("ledger"), { TargetId("t:1") } },
            ConfigPull{ 11 },
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -194,6 +194,9 @@
   EventHook mOnEvent = [](std::size_t, const WriteEvent&) {};
   std::function<void(std::size_t, const ReadFeed&)> mOnReadFeed =
     [](std::size_t, const ReadFeed&) {};
+  /** Called when a request of a node arrives at a target. */
+  std::function<void(std::size_t, const TargetId&)> mOnArrival =
+    [](std::size_t, const TargetId&) {};
   /** Called when a target starts to run a request. */
   std::function<void(std::size_t, RequestId)> mOnStart = [](std::size_t,
                                                             RequestId) {};
@@ -285,14 +288,23 @@
     auto finish = [this, aFrom, request, generation, id = aEffect.mTarget](
                     TargetOutcome aOutcome) {
       mOnRunEnd(aFrom, request, id, aOutcome);
-      mQueue.After(mLinkDelay, [this, aFrom, request, generation, aOutcome] {
-        End(aFrom, request, generation, aOutcome);
-      });
+      auto target = mTargets.find(id);
+      bool hasAnswered =
+        target != mTargets.end() && (aOutcome == TargetOutcome::Answered ||
+                                     aOutcome == TargetOutcome::ServerError ||
+                                     aOutcome == TargetOutcome::Shed);
+      auto statements = hasAnswered
+                          ? std::make_optional(target->second->mStatements)
+                          : std::nullopt;
+      mQueue.After(mLinkDelay,
+                   [this, aFrom, request, generation, aOutcome, statements] {
+                     End(aFrom, request, generation, aOutcome, statements);
+                   });
     };
     mOpenSends.insert({ aFrom, request, generation });
     // Like the real runtime, ends a send at its deadline in any case.
     mQueue.At(deadline, [this, aFrom, request, generation] {
-      End(aFrom, request, generation, TargetOutcome::TimedOut);
+      End(aFrom, request, generation, TargetOutcome::TimedOut, std::nullopt);
     });
     if (it == mTargets.end()) {
       finish(TargetOutcome::ConnectFailed);
@@ -306,7 +318,8 @@
     FakeTarget::Job job{ ++mJobs, work.mTime, work.mIsLong, deadline, finish };
     job.mOnStart = [this, aFrom, request] { mOnStart(aFrom, request); };
     bool isPoison = work.mIsPoison;
-    mQueue.After(mLinkDelay, [this, &target, isPoison, job] {
+    mQueue.After(mLinkDelay, [this, aFrom, &target, isPoison, job] {
+      mOnArrival(aFrom, target.mId);
       target.Receive(mQueue, mRandom, job);
       if (isPoison && !target.mIsCrashed) {
         target.Crash();
@@ -317,13 +330,14 @@
   void End(std::size_t aFrom,
            RequestId aRequest,
            std::uint64_t aGeneration,
-           TargetOutcome aOutcome)
+           TargetOutcome aOutcome,
+           const std::optional<TargetStatements>& aStatements)
   {
     if (mOpenSends.erase({ aFrom, aRequest, aGeneration }) == 0 ||
         mNodes[aFrom]->mProcessGeneration != aGeneration) {
       return;
     }
-    TargetRequestEnded ended{ aRequest, aOutcome, nullptr };
+    TargetRequestEnded ended{ aRequest, aOutcome, nullptr, aStatements };
     bool hasAnswer = aOutcome == TargetOutcome::Answered ||
                      aOutcome == TargetOutcome::ServerError;
     if (hasAnswer) {
--- a/test/support/Fakes.h
+++ b/test/support/Fakes.h
@@ -101,6 +101,8 @@
   bool mIsCrashed = false;
   bool mIsFrozen = false;
   bool mIsDraining = false;
+  /** What the target states of itself in its answers. */
+  TargetStatements mStatements;
   std::deque<Job> mWaiting;
   std::map<std::uint64_t, Job> mRunning;
   std::uint64_t mRuns = 0;
