Reject worker entries with odd values, and encode keys in queries

Reported by operators of systems like ours: one odd entry of another writer ended the processes that read the list, or stopped them following it.

Cause: a capacity of 2.5 or 1e30 was converted to an unsigned number, which changes it (for 1e30 with undefined behaviour); an entry whose version is of another type was used; and a key with a space, an ampersand or a line end made the request for the next page of the full list invalid, so that a starting node could not read it. Deep nesting (200,000 levels), numbers out of range and ports out of range were rejected before: no fault there.

--- a/test/correctness/StoreIsTranslated.cpp
+++ b/test/correctness/StoreIsTranslated.cpp
@@ -156,6 +156,42 @@
   }
 }
 
+/** Guards against one odd entry of another writer that ends the nodes that read
+ * it, or makes them use a target that does not exist. */
+TEST(Store, OddWorkerEntriesNameNoWorker)
+{
+  std::string text = kWorker;
+  std::string deep(200000, '[');
+  for (const auto& it :
+       { ReplaceFirst(text, "\"v1\"", deep + std::string(200000, ']')),
+         ReplaceFirst(text, "\"v1\"", deep),
+         deep,
+         ReplaceFirst(text, "\"capacity\":3", "\"capacity\":1e999"),
+         ReplaceFirst(text, "\"capacity\":3", "\"capacity\":1e30"),
+         ReplaceFirst(text, "\"capacity\":3", "\"capacity\":-3"),
+         ReplaceFirst(text, "\"capacity\":3", "\"capacity\":2.5"),
+         ReplaceFirst(text, "\"capacity\":3", "\"capacity\":4294967299"),
+         ReplaceFirst(
+           text, "\"capacity\":3", "\"capacity\":99999999999999999999999"),
+         ReplaceFirst(text, "\"warmup_left_s\":0.5", "\"warmup_left_s\":1e99"),
+         ReplaceFirst(text, "9:8080", "9:70000"),
+         ReplaceFirst(text, "9:8080", "9:0"),
+         ReplaceFirst(text, "9:8080", "9:-1"),
+         ReplaceFirst(text, "9:8080", "9:99999999999999999999"),
+         ReplaceFirst(text, "10.128.0.9:8080", "10.128.0.999:8080") }) {
+    CHECK_TEXT(!TranslateWorker("i-7f", it), it.substr(0, 300).c_str());
+  }
+}
+
+/** Guards against a key of another writer that makes the request for the page
+ * after it invalid, so that no node can read the list. */
+TEST(Store, OddKeysAreEncodedInQueries)
+{
+  STRCMP_EQUAL("i-7f3a91c2", EncodeQueryValue("i-7f3a91c2").c_str());
+  STRCMP_EQUAL("a%20b%26c%0D%0A%C3%A9%2F",
+               EncodeQueryValue("a b&c\r\n\xc3\xa9/").c_str());
+}
+
 TEST(Store, RecordsGetConsecutiveOffsets)
 {
   std::string body(16, '\0');
