Break off answers that never end

Reported: a faulty target writes bytes that are no answer without end, in a head or a body, until the caller closes. The proxy collected up to 64 MB of each body, looked again and again through a chunk's head that never ends, and skipped interim answers and those of other requests until the request's deadline. A few such targets fill the memory of a small machine or keep its loop busy.

Cause: the limits held for one answer, not for the exchange, and nothing bounded all exchanges together or the bytes that the parser leaves.

Change: an exchange receives 16 MB at most, skipped answers included; all exchanges with targets together 48 MB; what the parser leaves is a part of a head and bounded like one. Beyond, the connection is closed and the request ends as broken.

--- a/src/HttpExchange.cpp
+++ b/src/HttpExchange.cpp
@@ -112,11 +112,20 @@
     if (mIsEnded) {
       return;
     }
+    if (!TakeBytes(aCount)) {
+      End(ExchangeEnd::Broken);
+      return;
+    }
     mPending.append(mBytes.data(), aCount);
     Parse();
     if (mIsEnded) {
       return;
     }
+    // The parser leaves only a part of a head or of a chunk's head.
+    if (mPending.size() > mRequest.mLimits.mHeadBytes + kReadBytes) {
+      End(ExchangeEnd::Broken);
+      return;
+    }
     if (aError == boost::asio::error::eof) {
       mParser->FeedEnd();
       mHasEnded = true;
@@ -132,6 +141,24 @@
     }
   }
 
+  /** Counts received bytes. Returns false if they exceed the limits. */
+  bool TakeBytes(std::size_t aCount)
+  {
+    const HttpLimits& limits = mRequest.mLimits;
+    if (mReceivedBytes + aCount > limits.mHeadBytes + limits.mBodyBytes) {
+      return false;
+    }
+    auto& budget = mRequest.mByteBudget;
+    if (budget) {
+      if (*budget < aCount) {
+        return false;
+      }
+      *budget -= aCount;
+    }
+    mReceivedBytes += aCount;
+    return true;
+  }
+
   void Parse()
   {
     while (!mIsEnded) {
@@ -167,6 +194,9 @@
     mIsEnded = true;
     mDeadline.cancel();
     mConnectDeadline.cancel();
+    if (mRequest.mByteBudget) {
+      *mRequest.mByteBudget += mReceivedBytes;
+    }
     ExchangeResult result;
     result.mEnd = aEnd;
     if (aEnd == ExchangeEnd::Complete) {
@@ -196,6 +226,7 @@
   std::unique_ptr<ResponseParser> mParser;
   std::array<char, kReadBytes> mBytes{};
   std::string mPending;
+  std::size_t mReceivedBytes = 0;
   HttpResponse mResponse;
   bool mIsConnected = false;
   bool mIsWritten = false;
--- a/src/TargetClient.cpp
+++ b/src/TargetClient.cpp
@@ -16,6 +16,11 @@
 /** Shorter than the idle times that targets grant, and than the time in which
  * a path that has gone silent stays unnoticed. */
 constexpr Duration kKeepTime = milliseconds(1500);
+/** The largest answer. */
+constexpr std::size_t kMaxAnswerBytes = 16UL * 1024 * 1024;
+/** All answers that are being received: a third of the memory of the smallest
+ * machines. */
+constexpr std::size_t kMaxReceivedBytes = 48UL * 1024 * 1024;
 
 TargetOutcome
 OutcomeOf(ExchangeEnd aEnd)
@@ -40,6 +45,7 @@
                            const TargetDialect& aDialect)
   : mLoop(aLoop)
   , mDialect(aDialect)
+  , mByteBudget(std::make_shared<std::size_t>(kMaxReceivedBytes))
 {
 }
 
@@ -88,6 +94,8 @@
   request.mIsToHead = aSend.mMessage.mMethod == "HEAD";
   request.mConnectTimeout = std::min(kConnectTimeout, aSend.mTimeout);
   request.mTimeout = aSend.mTimeout;
+  request.mLimits.mBodyBytes = kMaxAnswerBytes;
+  request.mByteBudget = mByteBudget;
   request.mAccepts =
     [this, name = aSend.mRequestName](const HttpResponse& aResponse) {
       return IsAnswerTo(mDialect, name, aResponse);
--- a/src/TargetClient.h
+++ b/src/TargetClient.h
@@ -63,6 +63,8 @@
 
   boost::asio::io_context& mLoop;
   const TargetDialect& mDialect;
+  /** The bytes that the running exchanges may still receive together. */
+  std::shared_ptr<std::size_t> mByteBudget;
   std::unordered_map<RequestId, std::shared_ptr<HttpExchange>> mRunning;
   std::unordered_map<TargetId, std::list<Kept>> mKept;
   std::uint64_t mConnects = 0;
