Don't take an answer without an id for the current request on a kept connection

Reported: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of a request that ran.

Cause: an answer without a request id was taken for the one awaited, whatever came before on the connection.

Change: on a kept connection an answer has to name the request, if the caller named it. A refusal that does not still counts as a refusal for the target's load, but the request may have run; any other such answer counts as broken. The connection is closed, and nothing that the answer states of the target is used.

Evidence: RepeatedRefusals.WithoutAnIdProveNothingOnAKeptConnection fails on the code before (1 connection instead of 2) and passes now; OfAnotherRequestAreSkipped passes on both: a refusal with another id was skipped before.

--- a/src/CallerServer.cpp
+++ b/src/CallerServer.cpp
@@ -115,8 +115,8 @@
   // The process may have been paused since the core decided.
   if (it == mOpen.end() || left <= Duration(0)) {
     boost::asio::post(mLoop, [this, id] {
-      mHooks.mPost(
-        TargetRequestEnded{ id, TargetOutcome::Unused, nullptr, std::nullopt });
+      mHooks.mPost(TargetRequestEnded{
+        id, TargetOutcome::Unused, nullptr, std::nullopt, false });
     });
     return;
   }
@@ -133,8 +133,11 @@
                    *it->second.mMessage,
                    { aEffect.mTarget, mHooks.mNameRequest(id), left });
   mTargets->Send(send, [this, id](const TargetResult& aResult) {
-    mHooks.mPost(TargetRequestEnded{
-      id, aResult.mOutcome, aResult.mAnswer, aResult.mStatements });
+    mHooks.mPost(TargetRequestEnded{ id,
+                                     aResult.mOutcome,
+                                     aResult.mAnswer,
+                                     aResult.mStatements,
+                                     aResult.mMayHaveRun });
   });
 }
 
--- a/src/Dialects.cpp
+++ b/src/Dialects.cpp
@@ -208,7 +208,7 @@
   bool isFalsePromise =
     !aDialect.mSignature.empty() && PromisesNotRun(aResponse.mStatus);
   if (isForeign || isFalsePromise) {
-    return { TargetOutcome::Broken, nullptr, std::nullopt };
+    return {};
   }
   TargetStatements statements = ReadStatements(aDialect, aResponse);
   auto answer = std::make_shared<Answer>();
@@ -222,7 +222,8 @@
   bool isError = answer->mStatus >= kFirstServerError;
   return { isError ? TargetOutcome::ServerError : TargetOutcome::Answered,
            std::move(answer),
-           statements };
+           statements,
+           false };
 }
 
 bool
@@ -237,6 +238,13 @@
   return !id || *id == aRequestId;
 }
 
+bool
+NamesRequest(const TargetDialect& aDialect, const HttpResponse& aResponse)
+{
+  return !aDialect.mRequestId.empty() &&
+         FindHeader(aResponse.mHeaders, aDialect.mRequestId);
+}
+
 HttpResponse
 ComposeAnswer(const CallerDialect& aDialect,
               const AnswerCaller& aAnswer,
--- a/src/Dialects.h
+++ b/src/Dialects.h
@@ -65,6 +65,9 @@
   std::shared_ptr<const Answer> mAnswer;
   /** Empty if the answer is not the target's own. */
   std::optional<TargetStatements> mStatements;
+  /** The target states that it did not run the request, but the answer may
+   * belong to an earlier one. */
+  bool mMayHaveRun = false;
 };
 
 /** Describes a caller's request to the core. Pure. */
@@ -101,6 +104,10 @@
            const std::string& aRequestId,
            const HttpResponse& aResponse);
 
+/** Whether an answer names the request that it belongs to. Pure. */
+bool
+NamesRequest(const TargetDialect& aDialect, const HttpResponse& aResponse);
+
 /** The answer for a caller: the target's own, else the verdict. Pure. */
 HttpResponse
 ComposeAnswer(const CallerDialect& aDialect,
--- a/src/HttpExchange.h
+++ b/src/HttpExchange.h
@@ -36,11 +36,11 @@
   Duration mConnectTimeout{ 0 };
   /** From now to the end of the answer. */
   Duration mTimeout{ 0 };
-  /** They hold for all bytes of the exchange together, those of answers that are
-   * skipped included. */
+  /** They hold for all bytes of the exchange together, those of answers that
+   * are skipped included. */
   HttpLimits mLimits;
-  /** The bytes that all exchanges with this pointer may still receive while they
-   * last; null does not bound them together. */
+  /** The bytes that all exchanges with this pointer may still receive while
+   * they last; null does not bound them together. */
   std::shared_ptr<std::size_t> mByteBudget;
   /** Whether an answer belongs to this request; a false one is skipped and the
    * next awaited. Empty accepts all. */
--- a/src/NodeEvents.h
+++ b/src/NodeEvents.h
@@ -55,6 +55,8 @@
   std::shared_ptr<const Answer> mAnswer;
   /** What the target states of itself; empty without an answer of its own. */
   std::optional<TargetStatements> mStatements;
+  /** The target may have run the request although it states that it did not. */
+  bool mMayHaveRun = false;
 };
 
 /** A message from a peer has been received. */
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -247,7 +247,11 @@
     case TargetOutcome::Shed:
     case TargetOutcome::Draining:
     case TargetOutcome::Unused:
-      HandleNotRun(aState, aContext, *request);
+      if (aEnded.mMayHaveRun) {
+        HandlePossiblyRun(aState, aContext, *request);
+      } else {
+        HandleNotRun(aState, aContext, *request);
+      }
       return;
     case TargetOutcome::TimedOut:
     case TargetOutcome::Cancelled:
--- a/src/TargetClient.cpp
+++ b/src/TargetClient.cpp
@@ -39,6 +39,20 @@
   return TargetOutcome::Broken;
 }
 
+/** Returns what is known by an answer that may belong to another request. */
+TargetResult
+WithoutAttribution(TargetResult aResult)
+{
+  aResult.mMayHaveRun = true;
+  aResult.mStatements.reset();
+  if (aResult.mOutcome == TargetOutcome::Answered ||
+      aResult.mOutcome == TargetOutcome::ServerError) {
+    aResult.mOutcome = TargetOutcome::Broken;
+    aResult.mAnswer.reset();
+  }
+  return aResult;
+}
+
 } // namespace
 
 TargetClient::TargetClient(boost::asio::io_context& aLoop,
@@ -101,6 +115,7 @@
       return IsAnswerTo(mDialect, name, aResponse);
     };
   ReusableSocket socket = aSend.mIsIdempotent ? Take(aSend.mTarget) : nullptr;
+  bool mustNameRequest = socket && !aSend.mRequestName.empty();
   mConnects += socket ? 0 : 1;
   mRunning[aSend.mRequest] = HttpExchange::Start(
     mLoop,
@@ -109,29 +124,37 @@
     [this,
      target = aSend.mTarget,
      id = aSend.mRequest,
+     mustNameRequest,
      callback = std::move(aCallback)](ExchangeResult aResult) {
-      Finish(target, id, std::move(aResult), callback);
+      Finish(target, id, mustNameRequest, std::move(aResult), callback);
     });
 }
 
 void
 TargetClient::Finish(const TargetId& aTarget,
                      RequestId aRequest,
+                     bool aMustNameRequest,
                      ExchangeResult aResult,
                      const Callback& aCallback)
 {
   mRunning.erase(aRequest);
-  if (aResult.mSocket) {
-    auto& kept = mKept[aTarget];
-    if (kept.size() < kKeptPerTarget) {
-      kept.push_back({ std::move(aResult.mSocket), SteadyClock::now() });
-    }
+  if (aResult.mEnd != ExchangeEnd::Complete) {
+    TargetResult result;
+    result.mOutcome = OutcomeOf(aResult.mEnd);
+    aCallback(std::move(result));
+    return;
   }
-  if (aResult.mEnd == ExchangeEnd::Complete) {
-    aCallback(InterpretAnswer(mDialect, std::move(aResult.mResponse)));
-  } else {
-    aCallback({ OutcomeOf(aResult.mEnd), nullptr, std::nullopt });
+  // An answer without an id may be a late one to an earlier request on the
+  // connection. The answer proper may then still come.
+  bool isUnattributed = aMustNameRequest && !mDialect.mRequestId.empty() &&
+                        !NamesRequest(mDialect, aResult.mResponse);
+  auto& kept = mKept[aTarget];
+  if (aResult.mSocket && !isUnattributed && kept.size() < kKeptPerTarget) {
+    kept.push_back({ std::move(aResult.mSocket), SteadyClock::now() });
   }
+  TargetResult result = InterpretAnswer(mDialect, std::move(aResult.mResponse));
+  aCallback(isUnattributed ? WithoutAttribution(std::move(result))
+                           : std::move(result));
 }
 
 void
--- a/src/TargetClient.h
+++ b/src/TargetClient.h
@@ -58,6 +58,7 @@
   ReusableSocket Take(const TargetId& aTarget);
   void Finish(const TargetId& aTarget,
               RequestId aRequest,
+              bool aMustNameRequest,
               ExchangeResult aResult,
               const Callback& aCallback);
 
--- a/test/correctness/FaultyTargetsAreContained.cpp
+++ b/test/correctness/FaultyTargetsAreContained.cpp
@@ -240,3 +240,47 @@
                    49 * kMegabyte,
                    8);
 }
+
+/** Guards against a target that writes an earlier refusal again on a kept
+ * connection: callers were told "not run" of a request that runs. */
+TEST_GROUP(RepeatedRefusals){};
+
+TEST(RepeatedRefusals, OfAnotherRequestAreSkipped)
+{
+  boost::asio::io_context loop;
+  TargetDialect dialect = MakeDialect();
+  auto client = TargetClient::Make(loop, dialect);
+  FaultyTarget target(loop);
+  std::string refusal =
+    MakeAnswer("503 Busy", "Not-Executed: 1\r\nRequest-Id: request-1\r\n");
+  target.mAnswers = {
+    refusal,
+    refusal + MakeAnswer("200 OK", "Signature: s\r\nRequest-Id: request-2\r\n")
+  };
+  auto first = SendAndWait(loop, *client, target.Id(), 1);
+  CHECK(first.front().mOutcome == TargetOutcome::Shed);
+  auto second = SendAndWait(loop, *client, target.Id(), 2);
+  CHECK(second.front().mOutcome == TargetOutcome::Answered);
+  LONGS_EQUAL(1, target.mConnections);
+}
+
+TEST(RepeatedRefusals, WithoutAnIdProveNothingOnAKeptConnection)
+{
+  boost::asio::io_context loop;
+  TargetDialect dialect = MakeDialect();
+  auto client = TargetClient::Make(loop, dialect);
+  FaultyTarget target(loop);
+  std::string refusal = MakeAnswer("503 Busy", "Not-Executed: 1\r\n");
+  std::string late =
+    MakeAnswer("200 OK", "Signature: s\r\nRequest-Id: request-2\r\n");
+  target.mAnswers = { refusal, refusal, late, late };
+  auto first = SendAndWait(loop, *client, target.Id(), 1);
+  CHECK(first.front().mOutcome == TargetOutcome::Shed);
+  CHECK(!first.front().mMayHaveRun);
+  auto second = SendAndWait(loop, *client, target.Id(), 2);
+  CHECK(second.front().mOutcome == TargetOutcome::Shed);
+  CHECK(second.front().mMayHaveRun);
+  // The answer proper may still come, so the connection is not used again.
+  SendAndWait(loop, *client, target.Id(), 2);
+  LONGS_EQUAL(2, target.mConnections);
+}
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -337,7 +337,7 @@
         mNodes[aFrom]->mProcessGeneration != aGeneration) {
       return;
     }
-    TargetRequestEnded ended{ aRequest, aOutcome, nullptr, aStatements };
+    TargetRequestEnded ended{ aRequest, aOutcome, nullptr, aStatements, false };
     bool hasAnswer = aOutcome == TargetOutcome::Answered ||
                      aOutcome == TargetOutcome::ServerError;
     if (hasAnswer) {
