Follow what targets state: that they leave, and pauses after a refusal

Change: TargetStatements carries all three statements from the dialect to the proxy, and with its lease report or LeaseSync to the scheduler. A proxy that has heard that a target leaves or pauses does not use it in fallback, and returns a grant for it together with the statement, so that a scheduler that does not know learns it and no request is sent. The scheduler keeps a leaving target out of use for all nodes, and a pause for the node that it was stated to; it refuses at once if all targets pause for longer than a request may wait. Leaving holds until another incarnation has started (born, now in Vm); a ready entry of the same incarnation does not undo it. Unreadable values are ignored, of several the strictest counts, a pause is 30 s at most. Events 509 and 510, gauges of leaving and paused targets, a counter of declined grants.

--- a/src/Dialects.cpp
+++ b/src/Dialects.cpp
@@ -20,6 +20,10 @@
 constexpr unsigned kFirstRedirect = 300;
 /** A day; nobody waits longer, and larger numbers could overflow. */
 constexpr std::int64_t kMostDeadlineMs = 86400000;
+/** The longest pause that a target can state at once. It is long against the
+ * pauses of targets that recover, and a target that keeps stating it is asked
+ * once in this time. */
+constexpr double kMaxPauseSeconds = 30;
 
 std::string
 ValueOf(const HttpRequest& aRequest, const std::string& aName)
@@ -77,31 +81,54 @@
 /** Parses a decimal number that is not negative. Returns nothing if the text is
  * anything else. */
 std::optional<double>
-ParseRate(const std::string& aText)
+ParseNumber(const std::string& aText)
 {
-  double rate = 0;
+  double number = 0;
   const char* end = aText.data() + aText.size();
   auto [stop, ec] =
-    std::from_chars(aText.data(), end, rate, std::chars_format::fixed);
-  bool isRate =
-    ec == std::errc() && stop == end && std::isfinite(rate) && rate >= 0;
-  return isRate ? std::make_optional(rate) : std::nullopt;
+    std::from_chars(aText.data(), end, number, std::chars_format::fixed);
+  bool isNumber =
+    ec == std::errc() && stop == end && std::isfinite(number) && number >= 0;
+  return isNumber ? std::make_optional(number) : std::nullopt;
 }
 
-/** Reads what a target states of itself. Of several limits the lowest counts;
- * unreadable ones are ignored. */
+/** Returns the numbers in all headers with a name. Unreadable ones are left
+ * out. */
+std::vector<double>
+ParseNumbers(const HttpResponse& aResponse, const std::string& aName)
+{
+  std::vector<double> numbers;
+  for (const Header& it : aResponse.mHeaders) {
+    auto number = !aName.empty() && IsSameName(it.mName, aName)
+                    ? ParseNumber(it.mValue)
+                    : std::nullopt;
+    if (number) {
+      numbers.push_back(*number);
+    }
+  }
+  return numbers;
+}
+
+/** Reads what a target states of itself. Of several limits the lowest counts,
+ * of several pauses the longest. */
 TargetStatements
 ReadStatements(const TargetDialect& aDialect, const HttpResponse& aResponse)
 {
   TargetStatements statements;
-  for (const Header& it : aResponse.mHeaders) {
-    if (!aDialect.mRequestLimit.empty() &&
-        IsSameName(it.mName, aDialect.mRequestLimit)) {
-      auto rate = ParseRate(it.mValue);
-      if (rate) {
-        statements.mRequestLimit =
-          std::min(statements.mRequestLimit.value_or(*rate), *rate);
-      }
+  for (double it : ParseNumbers(aResponse, aDialect.mRequestLimit)) {
+    statements.mRequestLimit =
+      std::min(statements.mRequestLimit.value_or(it), it);
+  }
+  const std::string* leaving =
+    aDialect.mLeaving.empty()
+      ? nullptr
+      : FindHeader(aResponse.mHeaders, aDialect.mLeaving);
+  statements.mIsLeaving = leaving && *leaving != "0";
+  if (aResponse.mStatus == kStatusUnavailable) {
+    for (double it : ParseNumbers(aResponse, aDialect.mPause)) {
+      Duration pause = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(std::min(it, kMaxPauseSeconds)));
+      statements.mPause = std::max(statements.mPause, pause);
     }
   }
   return statements;
--- a/src/Dialects.h
+++ b/src/Dialects.h
@@ -49,6 +49,11 @@
   /** States the requests per second that the target accepts from all proxies
    * together, as a decimal number. */
   std::string mRequestLimit;
+  /** States, with any value but 0, that the target is leaving. */
+  std::string mLeaving;
+  /** In a refusal with status 503, states for how many seconds the target
+   * accepts no request from this proxy. */
+  std::string mPause;
   /** 421 is answered by another instance, which did not run the request. */
   bool mHasMisdirected = false;
   /** Closing the connection ends the work; else /cancel has to be called. */
--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -72,6 +72,10 @@
       return "TargetLimited";
     case kEventTargetUnlimited:
       return "TargetUnlimited";
+    case kEventTargetLeaving:
+      return "TargetLeaving";
+    case kEventTargetPaused:
+      return "TargetPaused";
     case kEventLogAway:
       return "LogAway";
     case kEventLogBack:
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -43,6 +43,8 @@
 constexpr int kEventRequestQuarantined = 506;
 constexpr int kEventTargetLimited = 507;
 constexpr int kEventTargetUnlimited = 508;
+constexpr int kEventTargetLeaving = 509;
+constexpr int kEventTargetPaused = 510;
 
 constexpr int kEventLogAway = 600;
 constexpr int kEventLogBack = 601;
--- a/src/LocalBalancer.cpp
+++ b/src/LocalBalancer.cpp
@@ -15,7 +15,8 @@
 bool
 IsUsable(const LocalBalancerTarget& aTarget, TimePoint aNow)
 {
-  return !aTarget.mIsLeaving && aNow >= aTarget.mOutOfUseUntil;
+  return !aTarget.mIsLeaving && !aTarget.mStatesLeaving &&
+         aNow >= aTarget.mOutOfUseUntil && aNow >= aTarget.mPausedUntil;
 }
 
 /** The share of a target's limit that one of aProxies proxies uses. */
@@ -45,6 +46,12 @@
     target.mZone = it.mZone;
     target.mSlots = it.mSlots;
     target.mIsLeaving = it.mIsLeaving;
+    if (target.mIncarnation != it.mIncarnation) {
+      target.mIncarnation = it.mIncarnation;
+      target.mLimit = {};
+      target.mStatesLeaving = false;
+      target.mPausedUntil = TimePoint{};
+    }
     next.emplace(std::move(id), std::move(target));
   }
   aBalancer.mTargets = std::move(next);
@@ -139,20 +146,38 @@
   if (it == aBalancer.mTargets.end()) {
     return;
   }
+  LocalBalancerTarget& target = it->second;
+  target.mStatesLeaving = target.mStatesLeaving || aStatements.mIsLeaving;
+  target.mPausedUntil =
+    std::max(target.mPausedUntil, aNow + aStatements.mPause);
   // The proxies start with different numbers of tokens, so that together they
   // send at the rate of the limit from the start instead of all at once.
   double tokens = aRandom() / 4294967296.0;
-  ExpireLimit(it->second.mLimit, aNow);
-  ApplyStatements(it->second.mLimit, aNow, aSentAt, aStatements, tokens);
+  ExpireLimit(target.mLimit, aNow);
+  ApplyStatements(target.mLimit, aNow, aSentAt, aStatements, tokens);
+}
+
+bool
+DeclinesRequests(const LocalBalancer& aBalancer,
+                 TimePoint aNow,
+                 const TargetId& aTarget)
+{
+  auto it = aBalancer.mTargets.find(aTarget);
+  return it != aBalancer.mTargets.end() &&
+         (it->second.mStatesLeaving || aNow < it->second.mPausedUntil);
 }
 
 std::vector<StatedTarget>
-StatementsOf(const LocalBalancer& aBalancer)
+StatementsOf(const LocalBalancer& aBalancer, TimePoint aNow)
 {
   std::vector<StatedTarget> targets;
   for (const auto& [id, target] : aBalancer.mTargets) {
-    if (target.mLimit.mPerSecond) {
-      targets.push_back({ id, { target.mLimit.mPerSecond } });
+    Duration pause = std::max(target.mPausedUntil - aNow, Duration(0));
+    bool hasStated =
+      target.mLimit.mPerSecond || target.mStatesLeaving || pause > Duration(0);
+    if (hasStated) {
+      targets.push_back(
+        { id, { target.mLimit.mPerSecond, target.mStatesLeaving, pause } });
     }
   }
   return targets;
--- a/src/LocalBalancer.h
+++ b/src/LocalBalancer.h
@@ -22,8 +22,13 @@
   unsigned mInFlight = 0;
   /** The failures of this proxy's own requests. */
   FailurePenalty mPenalty;
-  /** The limit that the target stated to this proxy. */
+  /** What the target stated to this proxy: its limit, that it is leaving, and
+   * until when it accepts no requests from this proxy. */
   RequestLimit mLimit;
+  bool mStatesLeaving = false;
+  TimePoint mPausedUntil{};
+  /** The incarnation that the statements are of. */
+  std::uint64_t mIncarnation = 0;
 };
 
 /** The load balancer of a proxy for the time when no scheduler answers. Of two
@@ -84,9 +89,16 @@
                  const TargetStatements& aStatements,
                  Random& aRandom);
 
-/** Returns the targets with a limit, for a new scheduler. */
+/** Returns whether a target has stated to this proxy that it accepts no request
+ * now: it is leaving or has asked for a pause. */
+bool
+DeclinesRequests(const LocalBalancer& aBalancer,
+                 TimePoint aNow,
+                 const TargetId& aTarget);
+
+/** Returns what targets have stated to this proxy, for a new scheduler. */
 std::vector<StatedTarget>
-StatementsOf(const LocalBalancer& aBalancer);
+StatementsOf(const LocalBalancer& aBalancer, TimePoint aNow);
 
 /** Records that a request was sent to a target. */
 void
--- a/src/NodeEvents.h
+++ b/src/NodeEvents.h
@@ -108,13 +108,17 @@
   bool mIsLeaving = false;
   /** Time left in which the VM is still warming up after its start. */
   Duration mWarmupLeft{ 0 };
+  /** Differs between processes that were started one after the other at the
+   * same address; 0 if the platform does not tell. */
+  std::uint64_t mIncarnation = 0;
   MSGPACK_DEFINE(mGroup,
                  mAddress,
                  mAdmin,
                  mZone,
                  mSlots,
                  mIsLeaving,
-                 mWarmupLeft)
+                 mWarmupLeft,
+                 mIncarnation)
 };
 
 /** Result of a ReadVmList effect. */
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -103,6 +103,11 @@
                  counters.mDurations[static_cast<std::size_t>(outcome)],
                  { { "outcome", RunOutcomeName(outcome) } });
   }
+  AddCounter(aRegistry,
+             "vanillascale_declined_grants_total",
+             "Slot leases returned because the target had stated that it "
+             "accepts no request",
+             static_cast<double>(counters.mDeclinedGrants));
   AddHistogram(aRegistry,
                "vanillascale_slot_wait_seconds",
                "Time from the request for a slot to the send",
@@ -123,7 +128,8 @@
 
 void
 AddSchedulerMetrics(prometheus::Registry& aRegistry,
-                    const SchedulerState& aScheduler)
+                    const SchedulerState& aScheduler,
+                    TimePoint aNow)
 {
   Labels labels{ { "service", aScheduler.mService.mValue } };
   AddCounter(aRegistry,
@@ -151,6 +157,16 @@
            "Targets that state a limit on their requests",
            static_cast<double>(CountLimitedTargets(aScheduler.mPool)),
            labels);
+  AddGauge(aRegistry,
+           "vanillascale_leaving_targets",
+           "Targets that state that they are leaving",
+           static_cast<double>(CountLeavingTargets(aScheduler.mPool)),
+           labels);
+  AddGauge(aRegistry,
+           "vanillascale_paused_targets",
+           "Targets that accept no requests from some proxy",
+           static_cast<double>(CountPausedTargets(aScheduler.mPool, aNow)),
+           labels);
   for (const auto& [id, target] : aScheduler.mPool.mTargets) {
     Labels targetLabels = labels;
     targetLabels["target"] = id.mValue;
@@ -247,7 +263,7 @@
   prometheus::Registry registry;
   AddProxyMetrics(registry, aState.mProxy);
   for (const auto& [service, scheduler] : aState.mSchedulers) {
-    AddSchedulerMetrics(registry, scheduler);
+    AddSchedulerMetrics(registry, scheduler, aNow);
   }
   AddGauge(registry,
            "vanillascale_open_callers",
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -288,6 +288,9 @@
     ReturnUnusedLease(aContext, aFrom, request->mService, aGrant.mLease);
     return;
   }
+  if (DeclineGrant(aState, aContext, *request, aFrom, aGrant)) {
+    return;
+  }
   SendUnderLease(aState, aContext, *request, aGrant.mLease, aGrant.mTarget);
 }
 
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -129,6 +129,8 @@
   std::uint64_t mRetries = 0;
   std::uint64_t mFallbackSends = 0;
   std::uint64_t mExpiredGrants = 0;
+  /** Grants of targets that had stated that they accept no request. */
+  std::uint64_t mDeclinedGrants = 0;
   /** From a request's arrival to its answer, indexed by RunOutcome. */
   std::array<LatencyHistogram, 3> mDurations{};
   /** From the start of the wait for a lease to the send. */
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -111,7 +111,7 @@
                                    request.mDeadlineAt - aContext.mNow });
         }
       }
-      sync.mStatements = StatementsOf(link.mLocalChoice);
+      sync.mStatements = StatementsOf(link.mLocalChoice, aContext.mNow);
       if (!sync.mLeases.empty() || !sync.mStatements.empty()) {
         aContext.mEffects.push_back(SendToPeer{ owner, std::move(sync) });
       }
@@ -401,6 +401,35 @@
   }
 }
 
+bool
+DeclineGrant(ProxyState& aState,
+             const ProxyContext& aContext,
+             ProxyRequest& aRequest,
+             const NodeId& aScheduler,
+             const LeaseGrant& aGrant)
+{
+  const LocalBalancer& targets =
+    aState.mSchedulerLinks.at(aRequest.mService).mLocalChoice;
+  if (!DeclinesRequests(targets, aContext.mNow, aGrant.mTarget)) {
+    return false;
+  }
+  LeaseReport report;
+  report.mService = aRequest.mService;
+  report.mLease = aGrant.mLease;
+  report.mOutcome = TargetOutcome::Unused;
+  for (const StatedTarget& it : StatementsOf(targets, aContext.mNow)) {
+    if (it.mTarget == aGrant.mTarget) {
+      report.mStatements = it.mStatements;
+    }
+  }
+  aContext.mEffects.push_back(SendToPeer{ aScheduler, std::move(report) });
+  ++aState.mCounters.mDeclinedGrants;
+  aRequest.mReportedLease = aGrant.mLease;
+  aRequest.mAvoidedTarget = aGrant.mTarget;
+  RequestLease(aState, aContext, aRequest);
+  return true;
+}
+
 void
 ReturnUnusedLease(const ProxyContext& aContext,
                   const NodeId& aScheduler,
--- a/src/ProxyLeases.h
+++ b/src/ProxyLeases.h
@@ -31,6 +31,16 @@
             TargetOutcome aOutcome,
             const std::optional<TargetStatements>& aStatements);
 
+/** Returns a grant of a target that has stated to this proxy that it accepts no
+ * request now, with the statement, and requests a lease of another target. Does
+ * nothing and returns false if the target has not stated this. */
+bool
+DeclineGrant(ProxyState& aState,
+             const ProxyContext& aContext,
+             ProxyRequest& aRequest,
+             const NodeId& aScheduler,
+             const LeaseGrant& aGrant);
+
 /** Reports to a scheduler that a granted lease is not used. */
 void
 ReturnUnusedLease(const ProxyContext& aContext,
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -160,7 +160,7 @@
     return;
   }
   RecordArrival(aState, aNow);
-  auto refusal = CheckAdmission(aState, aNow, aSettings, aRequest);
+  auto refusal = CheckAdmission(aState, aNow, aSettings, aFrom, aRequest);
   if (refusal) {
     Refuse(aState, aNow, aFrom, aRequest, *refusal, aEffects);
     return;
@@ -227,12 +227,11 @@
   RecordClient(aState, aNow, aFrom, aZone);
   for (const StatedTarget& it : aSync.mStatements) {
     // The sender's knowledge may be old: it sets limits, but lifts none.
-    if (it.mStatements.mRequestLimit) {
-      LogTargetChanges(
-        aState,
-        RecordStatements(aState.mPool, aNow, it.mTarget, aNow, it.mStatements),
-        aEffects);
-    }
+    LogTargetChanges(
+      aState,
+      RecordStatements(
+        aState.mPool, aNow, it.mTarget, aFrom, TimePoint{}, it.mStatements),
+      aEffects);
   }
   for (const HeldLease& it : aSync.mLeases) {
     auto target = aState.mPool.mTargets.find(it.mTarget);
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -153,7 +153,7 @@
                  const NodeId& aFrom,
                  const LeaseWithdrawal& aWithdrawal);
 
-/** Adds leases that another scheduler granted, and the limits of targets, as
+/** Adds leases that another scheduler granted, and what targets stated, as
  * their holder reports them. Skips those of unknown targets. */
 void
 SchedulerReceive(SchedulerState& aState,
--- a/src/SchedulerAdmission.cpp
+++ b/src/SchedulerAdmission.cpp
@@ -86,6 +86,7 @@
 CheckAdmission(SchedulerState& aState,
                TimePoint aNow,
                const Service& aSettings,
+               const NodeId& aProxy,
                const LeaseRequest& aRequest)
 {
   if (IsHarmful(aState.mHarmful, aNow, aRequest.mFingerprint)) {
@@ -106,7 +107,11 @@
         aState.mAccounts, aNow, aRequest.mAccount, aSettings.mAccountLimit)) {
     return RefusalReason::AccountLimit;
   }
-  if (IsQueueTooLong(aState, aNow, aRequest, MaxQueueWait(aState, aRequest))) {
+  Duration maxWait = MaxQueueWait(aState, aRequest);
+  if (AreAllPausedFor(aState.mPool, aNow, aProxy, aNow + maxWait)) {
+    return RefusalReason::NoTarget;
+  }
+  if (IsQueueTooLong(aState, aNow, aRequest, maxWait)) {
     return RefusalReason::Overload;
   }
   return std::nullopt;
@@ -132,6 +137,9 @@
       " queued=" + std::to_string(aState.mQueue.mEntries.size()) +
       " open_slots=" + std::to_string(OpenSlots(aState.mPool, aNow)) +
       " limited_targets=" + std::to_string(CountLimitedTargets(aState.mPool)) +
+      " leaving_targets=" + std::to_string(CountLeavingTargets(aState.mPool)) +
+      " paused_targets=" +
+      std::to_string(CountPausedTargets(aState.mPool, aNow)) +
       " leases=" + std::to_string(aState.mLeases.size()) +
       " retry_tokens=" + std::to_string(aState.mRetryTokens) });
   aEffects.push_back(
--- a/src/SchedulerAdmission.h
+++ b/src/SchedulerAdmission.h
@@ -29,6 +29,7 @@
 CheckAdmission(SchedulerState& aState,
                TimePoint aNow,
                const Service& aSettings,
+               const NodeId& aProxy,
                const LeaseRequest& aRequest);
 
 /** Sends a refusal to the proxy, counts it and logs it with its reason. */
--- a/src/SchedulerEvidence.cpp
+++ b/src/SchedulerEvidence.cpp
@@ -163,6 +163,7 @@
                      RecordStatements(aState.mPool,
                                       aNow,
                                       aLease.mTarget,
+                                      aLease.mHolder,
                                       aLease.mGrantedAt,
                                       *aReport.mStatements),
                      aEffects);
--- a/src/TargetChoice.cpp
+++ b/src/TargetChoice.cpp
@@ -177,6 +177,7 @@
     bool isExcluded = IsLeavingOrDraining(target, aNow) ||
                       id == aDemand.mAvoidedTarget ||
                       IsAvoidedFrom(target, aNow, aDemand.mZone) ||
+                      IsPausedFor(target, aNow, aDemand.mNode) ||
                       !AllowsRequest(target.mLimit, aNow);
     if (isExcluded) {
       continue;
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -202,7 +202,8 @@
 bool
 IsLeavingOrDraining(const PooledTarget& aTarget, TimePoint aNow)
 {
-  return aTarget.mIsLeaving || aNow < aTarget.mDrainingUntil;
+  return aTarget.mIsLeaving || aTarget.mStatesLeaving ||
+         aNow < aTarget.mDrainingUntil;
 }
 
 unsigned
@@ -258,6 +259,12 @@
     target.mZone = it.mZone;
     target.mSlots = it.mSlots;
     target.mIsLeaving = it.mIsLeaving;
+    if (target.mIncarnation != it.mIncarnation) {
+      target.mIncarnation = it.mIncarnation;
+      target.mLimit = {};
+      target.mStatesLeaving = false;
+      target.mPausedFor.clear();
+    }
     if (it.mWarmupLeft > Duration(0)) {
       target.mReportedWarmUpUntil =
         std::max(target.mReportedWarmUpUntil, aNow + it.mWarmupLeft);
@@ -317,10 +324,58 @@
     }));
 }
 
+std::size_t
+CountLeavingTargets(const TargetPool& aPool)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aPool.mTargets.begin(), aPool.mTargets.end(), [](const auto& aEntry) {
+      return aEntry.second.mStatesLeaving;
+    }));
+}
+
+std::size_t
+CountPausedTargets(const TargetPool& aPool, TimePoint aNow)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aPool.mTargets.begin(), aPool.mTargets.end(), [&](const auto& aEntry) {
+      const auto& paused = aEntry.second.mPausedFor;
+      return std::any_of(paused.begin(), paused.end(), [&](const auto& aPause) {
+        return aNow < aPause.second;
+      });
+    }));
+}
+
+bool
+IsPausedFor(const PooledTarget& aTarget, TimePoint aNow, const NodeId& aNode)
+{
+  auto it = aTarget.mPausedFor.find(aNode);
+  return it != aTarget.mPausedFor.end() && aNow < it->second;
+}
+
+bool
+AreAllPausedFor(const TargetPool& aPool,
+                TimePoint aNow,
+                const NodeId& aNode,
+                TimePoint aUntil)
+{
+  bool hasUsable = false;
+  for (const auto& [id, target] : aPool.mTargets) {
+    if (IsUsable(target, aNow)) {
+      hasUsable = true;
+      auto it = target.mPausedFor.find(aNode);
+      if (it == target.mPausedFor.end() || it->second < aUntil) {
+        return false;
+      }
+    }
+  }
+  return hasUsable;
+}
+
 std::vector<PoolChange>
 RecordStatements(TargetPool& aPool,
                  TimePoint aNow,
                  const TargetId& aTarget,
+                 const NodeId& aNode,
                  TimePoint aSentAt,
                  const TargetStatements& aStatements)
 {
@@ -328,16 +383,32 @@
   if (it == aPool.mTargets.end()) {
     return {};
   }
-  RequestLimit& limit = it->second.mLimit;
-  if (!ApplyStatements(limit, aNow, aSentAt, aStatements)) {
-    return {};
+  PooledTarget& target = it->second;
+  std::string heardBy = "heard_by=" + aNode.mValue;
+  std::vector<PoolChange> changes;
+  if (ApplyStatements(target.mLimit, aNow, aSentAt, aStatements)) {
+    bool isLimited = target.mLimit.mPerSecond.has_value();
+    changes.push_back(
+      { aTarget,
+        isLimited ? kEventTargetLimited : kEventTargetUnlimited,
+        isLimited ? "per_second=" + std::to_string(*target.mLimit.mPerSecond) +
+                      " " + heardBy
+                  : "reason=stated " + heardBy });
+  }
+  if (aStatements.mIsLeaving && !target.mStatesLeaving) {
+    target.mStatesLeaving = true;
+    changes.push_back({ aTarget, kEventTargetLeaving, heardBy });
   }
-  if (!limit.mPerSecond) {
-    return { { aTarget, kEventTargetUnlimited, "reason=stated" } };
+  if (aStatements.mPause > Duration(0)) {
+    TimePoint& until = target.mPausedFor[aNode];
+    until = std::max(until, aNow + aStatements.mPause);
+    changes.push_back(
+      { aTarget,
+        kEventTargetPaused,
+        "pause_ms=" + std::to_string(aStatements.mPause / milliseconds(1)) +
+          " " + heardBy });
   }
-  return { { aTarget,
-             kEventTargetLimited,
-             "per_second=" + std::to_string(*limit.mPerSecond) } };
+  return changes;
 }
 
 std::vector<TargetId>
@@ -480,6 +551,9 @@
       target.mTrialScores = {};
       changes.push_back({ id, kEventTrialStarted, "" });
     }
+    for (auto it = target.mPausedFor.begin(); it != target.mPausedFor.end();) {
+      it = aNow >= it->second ? target.mPausedFor.erase(it) : std::next(it);
+    }
     if (ExpireLimit(target.mLimit, aNow)) {
       changes.push_back({ id, kEventTargetUnlimited, "reason=expired" });
     }
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -67,8 +67,14 @@
   TimePoint mReportedWarmUpUntil{};
   /** When a request was last sent to the target. */
   TimePoint mLastRequestAt{};
-  /** The limit that the target stated. */
+  /** What the target stated of itself in answers: its limit, that it is
+   * leaving, and the nodes from which it accepts no requests, with the time
+   * until which. */
   RequestLimit mLimit;
+  bool mStatesLeaving = false;
+  std::map<NodeId, TimePoint> mPausedFor;
+  /** The incarnation that the statements are of. */
+  std::uint64_t mIncarnation = 0;
   /** Nodes that failed to connect to the target, each with the time until which
    * its requests prefer other targets. */
   std::map<NodeId, TimePoint> mUnreachableFrom;
@@ -163,12 +169,33 @@
 std::size_t
 CountLimitedTargets(const TargetPool& aPool);
 
-/** Applies what a target stated in its answer to a request that was sent at
+/** Returns the number of targets that state that they are leaving. */
+std::size_t
+CountLeavingTargets(const TargetPool& aPool);
+
+/** Returns the number of targets that accept no requests from some node. */
+std::size_t
+CountPausedTargets(const TargetPool& aPool, TimePoint aNow);
+
+/** Returns whether a target has asked aNode to pause. Pure. */
+bool
+IsPausedFor(const PooledTarget& aTarget, TimePoint aNow, const NodeId& aNode);
+
+/** Returns whether every usable target has asked aNode to pause until aUntil or
+ * longer. */
+bool
+AreAllPausedFor(const TargetPool& aPool,
+                TimePoint aNow,
+                const NodeId& aNode,
+                TimePoint aUntil);
+
+/** Applies what a target stated in its answer to a request that aNode sent at
  * aSentAt. Returns the changes made. */
 std::vector<PoolChange>
 RecordStatements(TargetPool& aPool,
                  TimePoint aNow,
                  const TargetId& aTarget,
+                 const NodeId& aNode,
                  TimePoint aSentAt,
                  const TargetStatements& aStatements);
 
--- a/src/TargetStatements.h
+++ b/src/TargetStatements.h
@@ -3,8 +3,8 @@
 
 #include "Clock.h"
 #include "Ids.h"
+#include "MsgpackTypes.h"
 
-#include <msgpack.hpp>
 #include <optional>
 
 namespace vanillascale {
@@ -15,7 +15,12 @@
   /** The requests per second that it accepts from all proxies together; empty
    * if it states no limit. */
   std::optional<double> mRequestLimit;
-  MSGPACK_DEFINE(mRequestLimit)
+  /** It is leaving and accepts no new requests. */
+  bool mIsLeaving = false;
+  /** How long it accepts no request from the proxy that it answered; 0 if it
+   * states no pause. */
+  Duration mPause{ 0 };
+  MSGPACK_DEFINE(mRequestLimit, mIsLeaving, mPause)
 };
 
 /** A limit on the rate of requests to a target, kept as a token bucket. A value
--- a/test/correctness/MessagesAreDecoded.cpp
+++ b/test/correctness/MessagesAreDecoded.cpp
@@ -22,9 +22,9 @@
   request.mDeadline = Duration(2000000);
   LeaseSync sync{ ServiceName("ledger"),
                   { { 7, TargetId("t:1"), true, Duration(5) } },
-                  { { TargetId("t:2"), { 1.5 } } } };
+                  { { TargetId("t:2"), { 1.5, true, Duration(7) } } } };
   LeaseReport report;
-  report.mStatements = TargetStatements{ 2.5 };
+  report.mStatements = TargetStatements{ 2.5, false, Duration(9) };
   ConfigPush push{ 1, 2, "", { { 2, 3, "payload" } } };
   CachedAnswerReply reply{
     4,
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -296,6 +296,9 @@
       auto statements = hasAnswered
                           ? std::make_optional(target->second->mStatements)
                           : std::nullopt;
+      if (statements && aOutcome != TargetOutcome::Shed) {
+        statements->mPause = Duration(0);
+      }
       mQueue.After(mLinkDelay,
                    [this, aFrom, request, generation, aOutcome, statements] {
                      End(aFrom, request, generation, aOutcome, statements);
--- a/test/support/Fakes.h
+++ b/test/support/Fakes.h
@@ -101,8 +101,11 @@
   bool mIsCrashed = false;
   bool mIsFrozen = false;
   bool mIsDraining = false;
-  /** What the target states of itself in its answers. */
+  /** What the target states of itself in its answers; a pause only in
+   * refusals. */
   TargetStatements mStatements;
+  /** Share of requests that are refused as not run, at random. */
+  double mShedShare = 0;
   std::deque<Job> mWaiting;
   std::map<std::uint64_t, Job> mRunning;
   std::uint64_t mRuns = 0;
@@ -118,6 +121,8 @@
       aJob.mOnDone(TargetOutcome::ConnectFailed);
     } else if (mIsDraining) {
       aJob.mOnDone(TargetOutcome::Draining);
+    } else if (mShedShare > 0 && aRandom() < mShedShare * 4294967296.0) {
+      aJob.mOnDone(TargetOutcome::Shed);
     } else if (mRunning.size() < mSlots) {
       Start(aQueue, aRandom, std::move(aJob));
     } else if (mWaiting.size() < mMaxQueueLength) {
