Read the platform's terms, and let the stand-in target make statements

Found while reading the settings for the pauses: the template rendered policy_params as JSON, of which ParsePlatformSettings reads nothing, so that on every deployment the floor, the retry budget and the time to stop kept their defaults. Change: the template writes name=value items, and the parser also accepts items with an index in front.

The target stand-in states a limit, that it leaves, and pauses, by /faults; the default dialect has names for them.

--- a/src/Dialects.h
+++ b/src/Dialects.h
@@ -48,12 +48,12 @@
   std::string mSignature;
   /** States the requests per second that the target accepts from all proxies
    * together, as a decimal number. */
-  std::string mRequestLimit;
+  std::string mRequestLimit = "Vanillascale-Request-Limit";
   /** States, with any value but 0, that the target is leaving. */
-  std::string mLeaving;
+  std::string mLeaving = "Vanillascale-Leaving";
   /** In a refusal with status 503, states for how many seconds the target
    * accepts no request from this proxy. */
-  std::string mPause;
+  std::string mPause = "Retry-After";
   /** 421 is answered by another instance, which did not run the request. */
   bool mHasMisdirected = false;
   /** Closing the connection ends the work; else /cancel has to be called. */
--- a/standins/TargetStandin.cpp
+++ b/standins/TargetStandin.cpp
@@ -51,6 +51,12 @@
   /** So many in 100 answers are cut off in the middle. */
   std::atomic<int> mCutPercent{ 0 };
   std::atomic<int> mDraining{ 0 };
+  /** It states this limit, in requests per second; 0 states none. */
+  std::atomic<int> mLimit{ 0 };
+  /** It states that it is leaving. */
+  std::atomic<int> mLeaving{ 0 };
+  /** It states a pause of so many ms in refusals; 0 states none. */
+  std::atomic<int> mPauseMs{ 0 };
 };
 
 /** The stand-in of a target: a few slots, a short backlog, and a record of what
@@ -86,10 +92,28 @@
     if (url == "/cancel") {
       return Cancel(aCall);
     }
-    return Work(aCall);
+    StandinReply reply = Work(aCall);
+    AddStatements(reply);
+    return reply;
   }
 
 private:
+  /** Adds what the target states of itself to an answer. */
+  void AddStatements(StandinReply& aReply) const
+  {
+    if (mFaults.mLimit > 0) {
+      aReply.mHeaders.emplace_back("Vanillascale-Request-Limit",
+                                   std::to_string(mFaults.mLimit));
+    }
+    if (mFaults.mLeaving != 0) {
+      aReply.mHeaders.emplace_back("Vanillascale-Leaving", "1");
+    }
+    if (mFaults.mPauseMs > 0 && aReply.mStatus == kStatusUnavailable) {
+      aReply.mHeaders.emplace_back("Retry-After",
+                                   std::to_string(mFaults.mPauseMs / 1000.0));
+    }
+  }
+
   static std::string HeaderOf(const StandinCall& aCall, const char* aName)
   {
     const char* value = aCall.mRequest.getHeader(aName);
@@ -104,7 +128,10 @@
       { "slowFactor", &mFaults.mSlowFactor },
       { "flapMs", &mFaults.mFlapMs },
       { "cutPercent", &mFaults.mCutPercent },
-      { "draining", &mFaults.mDraining }
+      { "draining", &mFaults.mDraining },
+      { "limit", &mFaults.mLimit },
+      { "leaving", &mFaults.mLeaving },
+      { "pauseMs", &mFaults.mPauseMs }
     };
     for (auto& [name, value] : switches) {
       if (params.has(name)) {
--- a/test/correctness/StoreIsTranslated.cpp
+++ b/test/correctness/StoreIsTranslated.cpp
@@ -1,6 +1,8 @@
 #include "DocumentEntries.h"
 #include "StoreFormat.h"
 
+#include <fstream>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace vanillascale;
@@ -235,6 +237,31 @@
   }
 }
 
+TEST(Store, PlatformSettingsMayHaveAnIndex)
+{
+  PlatformSettings settings =
+    ParsePlatformSettings("0=seed_lag_s=3,1=grace_s=4.5,2=min_share=0.65");
+  CHECK(settings.mStopWithin == std::chrono::milliseconds(4500));
+  LONGS_EQUAL(65, settings.mFloorPercent);
+}
+
+/** Guards against a template that renders the platform's terms in a form that
+ * ParsePlatformSettings ignores, so that all of them keep their defaults. */
+TEST(Store, PlatformSettingsAreRenderedAsNamesAndValues)
+{
+  std::ifstream in(std::string(SOURCE_DIR) + "/deploy/settings.conf");
+  std::string line;
+  std::string terms;
+  while (std::getline(in, line)) {
+    if (line.rfind("platform-terms", 0) == 0) {
+      terms = line;
+    }
+  }
+  STRCMP_EQUAL("platform-terms = "
+               "{{#policy_params}}{{@}}={{.}}{{,}}{{/policy_params}}",
+               terms.c_str());
+}
+
 TEST(Store, InvalidPlatformSettingsKeepTheDefaults)
 {
   const PlatformSettings defaults;
