Request configurations from another zone while the store turns a zone away

What callers would see: in a zone of which every node is turned away by the store, requests are handled by an old configuration for as long as this lasts, although all other zones have the new one.

Cause: configurations were pushed within a zone only. Change: a node that the store does not answer, and whose zone has not confirmed its copy either, requests the changes from a random node of another zone once a second. A peer that knows of none answers with an empty push, which carries the age of its own copy. Target entries are left out: they change all the time, so each answer would be a full copy.

Evidence: LargeConfigurations.ReachAZoneThatTheStoreTurnsAway fails without the request (revision 1 in force 7.5 s after 2 was published) and passes with it. All unit tests pass.

--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -21,6 +21,8 @@
  * own. */
 constexpr Duration kTakeoverDelayPerRank = milliseconds(120);
 constexpr Duration kPullInterval = milliseconds(200);
+/** The interval of requests to other zones while the store does not answer. */
+constexpr Duration kOtherZonePullInterval = milliseconds(1000);
 /** The upper limit of the exponential backoff between reads that fail. */
 constexpr Duration kMaxRetryDelay = milliseconds(1600);
 constexpr Duration kInitialRetryDelay = milliseconds(200);
@@ -120,6 +122,41 @@
   }
 }
 
+/** Requests the changes from a random node of another zone if the store does
+ * not answer this node and its zone has not read it either: the store may
+ * answer the nodes of other zones. Only for topics with whole records, which
+ * change so rarely that the answer is mostly empty. */
+void
+RequestChangesFromOtherZone(KeyedFeedState& aState, const FeedContext& aContext)
+{
+  Duration waitForZone =
+    aState.mSettings.mStaleAfter +
+    kTakeoverDelayPerRank * static_cast<int>(kRankedReaders);
+  bool isDue = aState.mIsLoaded && aState.mSettings.mHasWholeRecords &&
+               aState.mConsecutiveFailures > 0 &&
+               aContext.mNow - aState.mFreshAt >= waitForZone &&
+               aContext.mNow >= aState.mNextPullAt;
+  if (!isDue) {
+    return;
+  }
+  const MembershipState& members = aContext.mMembers;
+  std::vector<NodeId> peers;
+  for (const NodeId& it : LiveMembers(members)) {
+    auto member = members.mMembers.find(it);
+    bool isOtherZone =
+      member != members.mMembers.end() && member->second.mZone != members.mZone;
+    if (isOtherZone) {
+      peers.push_back(it);
+    }
+  }
+  if (!peers.empty()) {
+    aState.mNextPullAt = aContext.mNow + kOtherZonePullInterval;
+    const NodeId& peer = peers[RandomBelow(aContext.mRandom, peers.size())];
+    aContext.mEffects.push_back(
+      SendToPeer{ peer, FeedPull{ aState.mSettings.mTopic, aState.mEnd } });
+  }
+}
+
 /** Removes an entry at once. */
 void
 RemoveEntry(KeyedFeedState& aState, const std::string& aKey)
@@ -395,6 +432,7 @@
     RemoveEntry(aState, it);
   }
   RequestCopyIfNotLoaded(aState, aContext);
+  RequestChangesFromOtherZone(aState, aContext);
   if (IsReadDue(aState, aContext)) {
     StartRead(aState, aContext);
   }
@@ -497,6 +535,11 @@
     return;
   }
   FeedPush push = MakePush(aState, aContext.mNow);
+  if (aPull.mEnd > 0 && aPull.mEnd == aState.mEnd) {
+    push.mAfter = aState.mEnd;
+    aContext.mEffects.push_back(SendToPeer{ aFrom, std::move(push) });
+    return;
+  }
   auto delta = std::find_if(
     aState.mRecentDeltas.begin(),
     aState.mRecentDeltas.end(),
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -110,7 +110,8 @@
 };
 
 /** Starts the read of the store or the request to a peer that is due, and
- * removes entries whose grace period has passed. */
+ * removes entries whose grace period has passed. Requests go to a node of
+ * another zone while the store answers none of this node's zone. */
 void
 FeedTick(KeyedFeedState& aState, const FeedContext& aContext);
 
@@ -128,9 +129,9 @@
             const NodeId& aFrom,
             const FeedPush& aPush);
 
-/** Sends the changes since the peer's end, or a full copy if they are not
- * known, to a peer that requests them. Ignores the request if this node has no
- * copy or the peer has read further. */
+/** Sends the changes since the peer's end, none if it has all, or a full copy
+ * if they are not known, to a peer that requests them. Ignores the request if
+ * this node has no copy or the peer has read further. */
 void
 FeedReceive(const KeyedFeedState& aState,
             const FeedContext& aContext,
--- a/test/correctness/LargeConfigurationsPropagate.cpp
+++ b/test/correctness/LargeConfigurationsPropagate.cpp
@@ -63,9 +63,21 @@
     }
   }
 
+  /** Returns whether the store turns a node away. Tests replace it. */
+  std::function<bool(std::size_t)> mIsRefused = [](std::size_t) {
+    return false;
+  };
+
 private:
   void Receive(std::size_t aNode, const ReadFeed& aRead)
   {
+    if (mIsRefused(aNode)) {
+      FeedReadResult failed;
+      failed.mTopic = aRead.mTopic;
+      mFleet.mQueue.After(
+        kStoreDelay, [this, aNode, failed] { mFleet.Post(aNode, failed); });
+      return;
+    }
     bool isCurrent = !aRead.mIsSnapshot && aRead.mFrom >= mEnd;
     if (aRead.mTopic != kDocumentTopic || !isCurrent) {
       Answer(aNode, aRead);
@@ -195,3 +207,26 @@
     }
   }
 }
+
+/** Guards against a zone whose nodes the store turns away and that gets no
+ * configuration from the nodes of the other zones. */
+TEST(LargeConfigurations, ReachAZoneThatTheStoreTurnsAway)
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    FakeFleet fleet(24, 3, seed, ConfigSource::KeyedFeeds);
+    FakeDocumentStore store(fleet);
+    Document document = MakeLargeDocument();
+    store.Publish(document);
+    fleet.RunFor(seconds(4));
+    store.mIsRefused = [](std::size_t aNode) { return aNode % 3 == 0; };
+    fleet.RunFor(seconds(1));
+    for (int i = 0; i < 3; ++i) {
+      ++document.mRevision;
+      document.mRoutes.erase(document.mRoutes.begin());
+      store.Publish(document);
+      // The store's disruption adds 5 s to the time to be in force.
+      fleet.RunFor(kMaxApplyTime + seconds(5));
+      LONGS_EQUAL(document.mRevision, LowestRevision(fleet));
+    }
+  }
+}
