Split the checks of translated documents from the parser

The checks are now DocumentChecks, the limits that both use DocumentLimits; no change of behaviour. A test holds both to the same limits: 20 changes that each break one are refused by both.

--- a/src/Document.cpp
+++ b/src/Document.cpp
@@ -1,6 +1,7 @@
 #include "Document.h"
 
-#include <algorithm>
+#include "DocumentLimits.h"
+
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -14,27 +15,6 @@
 using Json = nlohmann::json;
 using Faults = std::vector<DocumentFault>;
 
-constexpr unsigned kMaxPriority = 9;
-constexpr unsigned kMaxPercent = 100;
-constexpr unsigned kDefaultRetryPercent = 10;
-constexpr unsigned kDefaultRetryBurst = 30;
-constexpr unsigned kMaxRetryBurst = 10000;
-/** In requests per second. */
-constexpr unsigned kMaxAccountLimit = 1000000;
-/** Bounds of deadlines and of the time limits for callers. */
-constexpr unsigned kMinDeadlineMs = 10;
-constexpr unsigned kMaxDeadlineMs = 600000;
-constexpr unsigned kMaxAttempts = 10;
-constexpr unsigned kDefaultAttempts = 3;
-constexpr unsigned kMaxWeight = 1000000;
-/** Maximum length of a string member other than a path or host, in bytes. */
-constexpr std::size_t kMaxNameLength = 64;
-/** Maximum length of a path or host, in bytes. */
-constexpr std::size_t kMaxPathLength = 2048;
-constexpr unsigned kMinHeadBytes = 256;
-constexpr unsigned kMaxHeadBytes = 1024 * 1024;
-constexpr unsigned kMaxBodyBytes = 1024 * 1024 * 1024;
-
 /** Reads the members of a JSON object and records every fault.
  *
  * A member with a fault is read as an empty, minimum or default value, so that
@@ -230,18 +210,6 @@
   return limits;
 }
 
-constexpr const char* kPathProblem =
-  "must start with a slash and have no empty segments";
-
-/** Returns whether a path is empty or starts with a slash and has no empty
- * segments. */
-bool
-IsWellFormedPath(const std::string& aPath)
-{
-  return aPath.empty() ||
-         (aPath.front() == '/' && aPath.find("//") == std::string::npos);
-}
-
 /** Reads one entry of the member "routes". Only GET is idempotent by default.
  */
 Route
@@ -336,122 +304,6 @@
   return object;
 }
 
-/** Records a fault if a value is not in the range from aMin to aMax. */
-void
-CheckRange(const std::string& aPointer,
-           std::uint64_t aValue,
-           std::uint64_t aMin,
-           std::uint64_t aMax,
-           Faults& aFaults)
-{
-  if (aValue < aMin || aValue > aMax) {
-    aFaults.push_back({ aPointer,
-                        "must be from " + std::to_string(aMin) + " to " +
-                          std::to_string(aMax) + ", is " +
-                          std::to_string(aValue) });
-  }
-}
-
-/** Records a fault if a time in whole milliseconds is not in the range from
- * aMin to aMax. */
-void
-CheckMilliseconds(const std::string& aPointer,
-                  Duration aTime,
-                  std::uint64_t aMin,
-                  std::uint64_t aMax,
-                  Faults& aFaults)
-{
-  auto ms =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
-  CheckRange(aPointer,
-             static_cast<std::uint64_t>(std::max<std::int64_t>(ms, 0)),
-             aMin,
-             aMax,
-             aFaults);
-}
-
-void
-CheckLimits(const CallerLimits& aLimits, Faults& aFaults)
-{
-  CheckRange("/limits/headBytes",
-             aLimits.mHeadBytes,
-             kMinHeadBytes,
-             kMaxHeadBytes,
-             aFaults);
-  CheckRange(
-    "/limits/bodyBytes", aLimits.mBodyBytes, 0, kMaxBodyBytes, aFaults);
-  CheckMilliseconds("/limits/requestMs",
-                    aLimits.mRequestTime,
-                    kMinDeadlineMs,
-                    kMaxDeadlineMs,
-                    aFaults);
-  CheckMilliseconds("/limits/idleMs",
-                    aLimits.mIdleTime,
-                    kMinDeadlineMs,
-                    kMaxDeadlineMs,
-                    aFaults);
-}
-
-void
-CheckService(const Service& aService, Faults& aFaults)
-{
-  std::string pointer = "/services/" + aService.mName.mValue;
-  CheckRange(pointer + "/name",
-             aService.mName.mValue.size(),
-             1,
-             kMaxNameLength,
-             aFaults);
-  CheckRange(
-    pointer + "/vmGroup", aService.mVmGroup.size(), 1, kMaxNameLength, aFaults);
-  CheckRange(
-    pointer + "/floorPercent", aService.mFloorPercent, 1, kMaxPercent, aFaults);
-  CheckRange(pointer + "/accountLimit",
-             aService.mAccountLimit,
-             0,
-             kMaxAccountLimit,
-             aFaults);
-  CheckRange(pointer + "/guaranteedPercent",
-             aService.mGuaranteedPercent,
-             0,
-             kMaxPercent / 2,
-             aFaults);
-  CheckRange(
-    pointer + "/retryPercent", aService.mRetryPercent, 0, kMaxPercent, aFaults);
-  CheckRange(
-    pointer + "/retryBurst", aService.mRetryBurst, 0, kMaxRetryBurst, aFaults);
-}
-
-void
-CheckRoute(const Route& aRoute, Faults& aFaults)
-{
-  std::string pointer = "/routes/" + aRoute.mName.mValue;
-  CheckRange(
-    pointer + "/name", aRoute.mName.mValue.size(), 1, kMaxNameLength, aFaults);
-  if (!aRoute.mShares.empty() && !aRoute.mService.mValue.empty()) {
-    aFaults.push_back(
-      { pointer + "/shares", "must exclude the member service" });
-  }
-  for (const RouteShare& it : aRoute.mShares) {
-    CheckRange(pointer + "/shares", it.mWeight, 0, kMaxWeight, aFaults);
-  }
-  CheckRange(
-    pointer + "/host", aRoute.mHost.size(), 0, kMaxPathLength, aFaults);
-  CheckRange(
-    pointer + "/path", aRoute.mPath.size(), 1, kMaxPathLength, aFaults);
-  if (!IsWellFormedPath(aRoute.mPath)) {
-    aFaults.push_back({ pointer + "/path", kPathProblem });
-  }
-  CheckRange(pointer + "/priority", aRoute.mPriority, 1, kMaxPriority, aFaults);
-  CheckMilliseconds(pointer + "/deadlineMs",
-                    aRoute.mDeadline,
-                    kMinDeadlineMs,
-                    kMaxDeadlineMs,
-                    aFaults);
-  CheckMilliseconds(
-    pointer + "/goalMs", aRoute.mGoal, 0, kMaxDeadlineMs, aFaults);
-  CheckRange(pointer + "/attempts", aRoute.mAttempts, 1, kMaxAttempts, aFaults);
-}
-
 } // namespace
 
 std::vector<ServiceName>
@@ -493,24 +345,6 @@
   return faults;
 }
 
-std::vector<DocumentFault>
-CheckDocument(const Document& aDocument)
-{
-  Faults faults;
-  CheckRange(
-    "/environment", aDocument.mEnvironment.size(), 1, kMaxNameLength, faults);
-  if (aDocument.mLimits) {
-    CheckLimits(*aDocument.mLimits, faults);
-  }
-  for (const auto& [name, service] : aDocument.mServices) {
-    CheckService(service, faults);
-  }
-  for (const auto& [name, route] : aDocument.mRoutes) {
-    CheckRoute(route, faults);
-  }
-  return faults.empty() ? CheckReferences(aDocument) : faults;
-}
-
 tl::expected<Document, Faults>
 ParseDocument(const std::string& aText)
 {
--- a/src/Document.h
+++ b/src/Document.h
@@ -181,12 +181,6 @@
 std::vector<DocumentFault>
 CheckReferences(const Document& aDocument);
 
-/** Checks a document that was not parsed by ParseDocument against the same
- * limits, including CheckReferences. Returns all faults. Pure and safe to call
- * from any thread. */
-std::vector<DocumentFault>
-CheckDocument(const Document& aDocument);
-
 /** Parses one service from JSON text in the format of a document's services.
  * Returns all faults found. */
 tl::expected<Service, std::vector<DocumentFault>>
--- /dev/null
+++ b/src/DocumentLimits.h
@@ -0,0 +1,45 @@
+#ifndef VANILLASCALE_DOCUMENTLIMITS_H
+#define VANILLASCALE_DOCUMENTLIMITS_H
+
+#include <string>
+
+namespace vanillascale {
+
+/** The limits on the members of a document, whether it is parsed from JSON or
+ * translated from a platform's format. */
+inline constexpr unsigned kMaxPriority = 9;
+inline constexpr unsigned kMaxPercent = 100;
+inline constexpr unsigned kDefaultRetryPercent = 10;
+inline constexpr unsigned kDefaultRetryBurst = 30;
+inline constexpr unsigned kMaxRetryBurst = 10000;
+/** In requests per second. */
+inline constexpr unsigned kMaxAccountLimit = 1000000;
+/** Bounds of deadlines and of the time limits for callers. */
+inline constexpr unsigned kMinDeadlineMs = 10;
+inline constexpr unsigned kMaxDeadlineMs = 600000;
+inline constexpr unsigned kMaxAttempts = 10;
+inline constexpr unsigned kDefaultAttempts = 3;
+inline constexpr unsigned kMaxWeight = 1000000;
+/** Maximum length of a string member other than a path or host, in bytes. */
+inline constexpr std::size_t kMaxNameLength = 64;
+/** Maximum length of a path or host, in bytes. */
+inline constexpr std::size_t kMaxPathLength = 2048;
+inline constexpr unsigned kMinHeadBytes = 256;
+inline constexpr unsigned kMaxHeadBytes = 1024 * 1024;
+inline constexpr unsigned kMaxBodyBytes = 1024 * 1024 * 1024;
+
+inline constexpr const char* kPathProblem =
+  "must start with a slash and have no empty segments";
+
+/** Returns whether a path is empty or starts with a slash and has no empty
+ * segments. Pure. */
+inline bool
+IsWellFormedPath(const std::string& aPath)
+{
+  return aPath.empty() ||
+         (aPath.front() == '/' && aPath.find("//") == std::string::npos);
+}
+
+} // namespace vanillascale
+
+#endif
--- a/test/correctness/DocumentsAreChecked.cpp
+++ b/test/correctness/DocumentsAreChecked.cpp
@@ -1,6 +1,7 @@
-#include "Document.h"
+#include "DocumentChecks.h"
 
 #include <fstream>
+#include <functional>
 #include <sstream>
 
 #include <CppUTest/TestHarness.h>
@@ -83,3 +84,61 @@
     LONGS_EQUAL_TEXT(expectedCount, document.error().size(), base.c_str());
   }
 }
+
+/** Guards against limits that hold for parsed documents but not for those that
+ * are translated from a platform's format, or the other way round. */
+TEST(Documents, AreCheckedAlikeWhetherParsedOrTranslated)
+{
+  const Document valid = *ParseDocument(ReadFile("examples/kitakaze.json"));
+  CHECK(CheckDocument(valid).empty());
+  std::vector<std::function<void(Document&, Service&, Route&)>> changes{
+    [](Document& aDocument, Service&, Route&) {
+      aDocument.mEnvironment.clear();
+    },
+    [](Document& aDocument, Service&, Route&) {
+      aDocument.mLimits = CallerLimits{ 10, 10, std::chrono::seconds(1) };
+    },
+    [](Document&, Service& aService, Route&) { aService.mFloorPercent = 101; },
+    [](Document&, Service& aService, Route&) { aService.mFloorPercent = 0; },
+    [](Document&, Service& aService, Route&) { aService.mRetryPercent = 101; },
+    [](Document&, Service& aService, Route&) { aService.mRetryBurst = 10001; },
+    [](Document&, Service& aService, Route&) {
+      aService.mGuaranteedPercent = 51;
+    },
+    [](Document&, Service& aService, Route&) {
+      aService.mAccountLimit = 1000001;
+    },
+    [](Document&, Service& aService, Route&) { aService.mVmGroup.clear(); },
+    [](Document&, Service&, Route& aRoute) { aRoute.mPath = "no-slash"; },
+    [](Document&, Service&, Route& aRoute) { aRoute.mPath = "/a//b"; },
+    [](Document&, Service&, Route& aRoute) { aRoute.mPath.clear(); },
+    [](Document&, Service&, Route& aRoute) { aRoute.mHost.assign(2049, 'h'); },
+    [](Document&, Service&, Route& aRoute) { aRoute.mPriority = 10; },
+    [](Document&, Service&, Route& aRoute) { aRoute.mAttempts = 11; },
+    [](Document&, Service&, Route& aRoute) {
+      aRoute.mDeadline = std::chrono::milliseconds(9);
+    },
+    [](Document&, Service&, Route& aRoute) {
+      aRoute.mDeadline = std::chrono::seconds(601);
+    },
+    [](Document&, Service&, Route& aRoute) {
+      aRoute.mGoal = std::chrono::seconds(601);
+    },
+    [](Document&, Service&, Route& aRoute) {
+      aRoute.mShares = { { aRoute.mService, 1000001 } };
+      aRoute.mService = ServiceName();
+    },
+    [](Document&, Service&, Route& aRoute) {
+      aRoute.mService = ServiceName("unknown");
+    },
+  };
+  for (std::size_t i = 0; i < changes.size(); ++i) {
+    Document document = valid;
+    changes[i](document,
+               document.mServices.begin()->second,
+               document.mRoutes.begin()->second);
+    std::string index = std::to_string(i);
+    CHECK_TEXT(!ParseDocument(FormatDocument(document)), index.c_str());
+    CHECK_TEXT(!CheckDocument(document).empty(), index.c_str());
+  }
+}
