Let the tests of limits, statements and pushes take their seeds from outside

VANILLASCALE_TEST_SEED sets the first seed, as for the property tests. The push of a read is made in one place.

--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -472,8 +472,7 @@
       return;
     }
   }
-  FeedPush push;
-  push.mAfter = aState.mEnd;
+  LogOffset after = aState.mEnd;
   RecordFreshness(
     aState, aContext.mNow, ConfirmedAt(aState, aContext.mNow, aRead), NodeId());
   std::vector<FeedEntry> changes = ApplyRead(aState, aContext.mNow, aRead);
@@ -488,9 +487,8 @@
   if (!wasLoaded) {
     return;
   }
-  LogOffset after = push.mAfter;
   RecordDelta(aState, { after, aState.mEnd, changes });
-  push = MakePush(aState, aContext.mNow);
+  FeedPush push = MakePush(aState, aContext.mNow);
   push.mIsSnapshot = aRead.mIsSnapshot && !hasWholeRecords;
   push.mAfter = after;
   push.mEntries = push.mIsSnapshot ? CopyEntries(aState) : std::move(changes);
--- a/test/correctness/LargeConfigurationsPropagate.cpp
+++ b/test/correctness/LargeConfigurationsPropagate.cpp
@@ -1,6 +1,6 @@
 #include "DocumentEntries.h"
 
-#include "../support/FakeFleet.h"
+#include "../support/FleetHelpers.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -167,7 +167,7 @@
  * to a document that it does not fit. */
 TEST(LargeConfigurations, AreTheSameOnNodesThatMissedChanges)
 {
-  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+  for (std::uint64_t seed : TestSeeds(20)) {
     FakeFleet fleet(8, 2, seed, ConfigSource::KeyedFeeds);
     FakeDocumentStore store(fleet);
     Document document = MakeLargeDocument();
@@ -212,7 +212,7 @@
  * configuration from the nodes of the other zones. */
 TEST(LargeConfigurations, ReachAZoneThatTheStoreTurnsAway)
 {
-  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+  for (std::uint64_t seed : TestSeeds(5)) {
     FakeFleet fleet(24, 3, seed, ConfigSource::KeyedFeeds);
     FakeDocumentStore store(fleet);
     Document document = MakeLargeDocument();
--- a/test/correctness/TargetLimitsAreKept.cpp
+++ b/test/correctness/TargetLimitsAreKept.cpp
@@ -140,10 +140,10 @@
 
 TEST(TargetLimits, AreKeptByTheFleetTogether)
 {
-  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+  for (std::uint64_t seed : TestSeeds(4)) {
     auto fleet = MakeFleet(seed);
     LimitChecker checker(*fleet);
-    LimitTargets(*fleet, 8, 1.1 + static_cast<double>(seed));
+    LimitTargets(*fleet, 8, 1.1 + static_cast<double>(seed % 5));
     OfferLoad(*fleet, seconds(20), milliseconds(15));
     DOUBLES_EQUAL(0, checker.WorstExcess(), 0);
   }
@@ -151,10 +151,10 @@
 
 TEST(TargetLimits, AreKeptWhileSchedulersAreKilledAndRestarted)
 {
-  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+  for (std::uint64_t seed : TestSeeds(4)) {
     auto fleet = MakeFleet(seed);
     LimitChecker checker(*fleet);
-    LimitTargets(*fleet, 8, 1.1 + static_cast<double>(seed));
+    LimitTargets(*fleet, 8, 1.1 + static_cast<double>(seed % 5));
     for (int i = 0; i < 7; ++i) {
       OfferLoad(*fleet, milliseconds(1500), milliseconds(15));
       std::size_t node = SchedulerNodes(*fleet).front();
@@ -169,10 +169,10 @@
 
 TEST(TargetLimits, AreKeptWithoutAScheduler)
 {
-  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+  for (std::uint64_t seed : TestSeeds(4)) {
     auto fleet = MakeFleet(seed);
     LimitChecker checker(*fleet);
-    LimitTargets(*fleet, 8, 1.1 + static_cast<double>(seed));
+    LimitTargets(*fleet, 8, 1.1 + static_cast<double>(seed % 5));
     OfferLoad(*fleet, seconds(4), milliseconds(15));
     fleet->mIsLost = [](std::size_t, std::size_t, const Message& aMessage) {
       return std::holds_alternative<LeaseRequest>(aMessage);
--- a/test/correctness/TargetStatementsAreFollowed.cpp
+++ b/test/correctness/TargetStatementsAreFollowed.cpp
@@ -88,7 +88,7 @@
 
 TEST(LeavingTargets, ReceiveNoRequestsAlsoFromANewScheduler)
 {
-  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+  for (std::uint64_t seed : TestSeeds(5)) {
     auto fleet = MakeFleet(seed);
     FakeTarget& leaving = FirstTarget(*fleet);
     std::map<std::size_t, TimePoint> heardAt;
@@ -150,7 +150,7 @@
 
 TEST(PausingTargets, ReceiveNoRequestsFromTheNodesThatTheyTurnedAway)
 {
-  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+  for (std::uint64_t seed : TestSeeds(5)) {
     // So few that each node sends each target many requests.
     auto fleet = MakeFleet(seed, 4, 2);
     FakeTarget& target = FirstTarget(*fleet);
--- a/test/support/FleetHelpers.h
+++ b/test/support/FleetHelpers.h
@@ -6,10 +6,24 @@
 #include "ConfigFold.h"
 #include "RequestKeys.h"
 
+#include <cstdlib>
+#include <numeric>
 #include <stdexcept>
 
 namespace vanillascale::fake {
 
+/** Returns the seeds of a test: aCount of them, from 1 on.
+ * VANILLASCALE_TEST_SEED overrides the first. */
+inline std::vector<std::uint64_t>
+TestSeeds(std::size_t aCount)
+{
+  const char* text = std::getenv("VANILLASCALE_TEST_SEED");
+  std::uint64_t first = text ? std::strtoull(text, nullptr, 10) : 1;
+  std::vector<std::uint64_t> seeds(aCount);
+  std::iota(seeds.begin(), seeds.end(), first);
+  return seeds;
+}
+
 /** A document with one idempotent and one non-idempotent route. */
 constexpr const char* kSmallDocument = R"({
   "environment": "test",
