Keep the linter clean

A branch of the fake target was there twice, a parameter was copied, a product was widened late, and EventName had grown past the limit on functions; it looks names up in a table now.

--- a/src/DocumentEntries.cpp
+++ b/src/DocumentEntries.cpp
@@ -76,7 +76,7 @@
 }
 
 void
-UpdateRoutes(ConfigState& aState, ObjectUpdates<Route> aUpdates)
+UpdateRoutes(ConfigState& aState, const ObjectUpdates<Route>& aUpdates)
 {
   auto& routes = aState.mDocument.mRoutes;
   // All replaced routes leave the table before the first new one enters it: a
@@ -88,10 +88,10 @@
       routes.erase(old);
     }
   }
-  for (auto& [name, route] : aUpdates) {
+  for (const auto& [name, route] : aUpdates) {
     if (route) {
       aState.mRoutes.Add(*route);
-      routes.emplace(name, std::move(*route));
+      routes.emplace(name, *route);
     }
   }
 }
@@ -160,7 +160,7 @@
       document.mServices.erase(name);
     }
   }
-  UpdateRoutes(aState, std::move(routes));
+  UpdateRoutes(aState, routes);
   aState.mOffset = offset;
   return DocumentUpdate::InForce;
 }
--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -1,92 +1,70 @@
 #include "EventNumbers.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace vanillascale {
 
+namespace {
+
+struct NamedEvent
+{
+  int mNumber;
+  const char* mName;
+};
+
+constexpr NamedEvent kNamedEvents[] = {
+  { kEventStarted, "Started" },
+  { kEventStopping, "Stopping" },
+  { kEventStopped, "Stopped" },
+  { kEventSettingsRefused, "SettingsRefused" },
+  { kEventServerFailed, "ServerFailed" },
+  { kEventReloaded, "Reloaded" },
+  { kEventLinesDropped, "LinesDropped" },
+  { kEventLoopDelayed, "LoopDelayed" },
+  { kEventPeerMessagesDropped, "PeerMessagesDropped" },
+  { kEventRequestRefused, "RequestRefused" },
+  { kEventRequestEnded, "RequestEnded" },
+  { kEventRequestRetried, "RequestRetried" },
+  { kEventCallerGone, "CallerGone" },
+  { kEventSlotRefused, "SlotRefused" },
+  { kEventRequestDelayed, "RequestDelayed" },
+  { kEventChangeFolded, "ChangeFolded" },
+  { kEventCheckpointWritten, "CheckpointWritten" },
+  { kEventDocumentRead, "DocumentRead" },
+  { kEventRecordSkipped, "RecordSkipped" },
+  { kEventSchedulerStarted, "SchedulerStarted" },
+  { kEventSchedulerEnded, "SchedulerEnded" },
+  { kEventFallbackEntered, "FallbackEntered" },
+  { kEventFallbackLeft, "FallbackLeft" },
+  { kEventSchedulerPassedOver, "SchedulerPassedOver" },
+  { kEventTargetEjected, "TargetEjected" },
+  { kEventTrialStarted, "TrialStarted" },
+  { kEventTrialFailed, "TrialFailed" },
+  { kEventTargetReturned, "TargetReturned" },
+  { kEventReturnedForFloor, "ReturnedForFloor" },
+  { kEventPathAvoided, "PathAvoided" },
+  { kEventRequestQuarantined, "RequestQuarantined" },
+  { kEventTargetLimited, "TargetLimited" },
+  { kEventTargetUnlimited, "TargetUnlimited" },
+  { kEventTargetLeaving, "TargetLeaving" },
+  { kEventTargetPaused, "TargetPaused" },
+  { kEventLogAway, "LogAway" },
+  { kEventLogBack, "LogBack" },
+  { kEventStoreLost, "StoreLost" },
+  { kEventStoreBack, "StoreBack" },
+};
+
+} // namespace
+
 const char*
 EventName(int aEventNumber)
 {
-  switch (aEventNumber) {
-    case kEventStarted:
-      return "Started";
-    case kEventStopping:
-      return "Stopping";
-    case kEventStopped:
-      return "Stopped";
-    case kEventSettingsRefused:
-      return "SettingsRefused";
-    case kEventServerFailed:
-      return "ServerFailed";
-    case kEventReloaded:
-      return "Reloaded";
-    case kEventLinesDropped:
-      return "LinesDropped";
-    case kEventLoopDelayed:
-      return "LoopDelayed";
-    case kEventPeerMessagesDropped:
-      return "PeerMessagesDropped";
-    case kEventRequestRefused:
-      return "RequestRefused";
-    case kEventRequestEnded:
-      return "RequestEnded";
-    case kEventRequestRetried:
-      return "RequestRetried";
-    case kEventCallerGone:
-      return "CallerGone";
-    case kEventSlotRefused:
-      return "SlotRefused";
-    case kEventRequestDelayed:
-      return "RequestDelayed";
-    case kEventChangeFolded:
-      return "ChangeFolded";
-    case kEventCheckpointWritten:
-      return "CheckpointWritten";
-    case kEventDocumentRead:
-      return "DocumentRead";
-    case kEventRecordSkipped:
-      return "RecordSkipped";
-    case kEventSchedulerStarted:
-      return "SchedulerStarted";
-    case kEventSchedulerEnded:
-      return "SchedulerEnded";
-    case kEventFallbackEntered:
-      return "FallbackEntered";
-    case kEventFallbackLeft:
-      return "FallbackLeft";
-    case kEventSchedulerPassedOver:
-      return "SchedulerPassedOver";
-    case kEventTargetEjected:
-      return "TargetEjected";
-    case kEventTrialStarted:
-      return "TrialStarted";
-    case kEventTrialFailed:
-      return "TrialFailed";
-    case kEventTargetReturned:
-      return "TargetReturned";
-    case kEventReturnedForFloor:
-      return "ReturnedForFloor";
-    case kEventPathAvoided:
-      return "PathAvoided";
-    case kEventRequestQuarantined:
-      return "RequestQuarantined";
-    case kEventTargetLimited:
-      return "TargetLimited";
-    case kEventTargetUnlimited:
-      return "TargetUnlimited";
-    case kEventTargetLeaving:
-      return "TargetLeaving";
-    case kEventTargetPaused:
-      return "TargetPaused";
-    case kEventLogAway:
-      return "LogAway";
-    case kEventLogBack:
-      return "LogBack";
-    case kEventStoreLost:
-      return "StoreLost";
-    case kEventStoreBack:
-      return "StoreBack";
-    default:
-      return "Unknown";
-  }
+  const auto* it = std::find_if(
+    std::begin(kNamedEvents),
+    std::end(kNamedEvents),
+    [&](const NamedEvent& aEvent) { return aEvent.mNumber == aEventNumber; });
+  return it == std::end(kNamedEvents) ? "Unknown" : it->mName;
 }
 
 } // namespace vanillascale
--- a/test/correctness/FaultyTargetsAreContained.cpp
+++ b/test/correctness/FaultyTargetsAreContained.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::size_t kMegabyte = 1024 * 1024;
+constexpr std::size_t kMegabyte = 1024UL * 1024;
 /** What sockets buffer of an answer beyond what the proxy has read. */
 constexpr std::size_t kSocketBuffers = 12 * kMegabyte;
 /** Longer than any test takes: an answer that ends earlier ends by its size. */
--- a/test/support/Fakes.h
+++ b/test/support/Fakes.h
@@ -117,15 +117,14 @@
 
   void Receive(VirtualTimeQueue& aQueue, Random& aRandom, Job aJob)
   {
+    bool isShed = mShedShare > 0 && aRandom() < mShedShare * 4294967296.0;
     if (mIsCrashed) {
       aJob.mOnDone(TargetOutcome::ConnectFailed);
     } else if (mIsDraining) {
       aJob.mOnDone(TargetOutcome::Draining);
-    } else if (mShedShare > 0 && aRandom() < mShedShare * 4294967296.0) {
-      aJob.mOnDone(TargetOutcome::Shed);
-    } else if (mRunning.size() < mSlots) {
+    } else if (!isShed && mRunning.size() < mSlots) {
       Start(aQueue, aRandom, std::move(aJob));
-    } else if (mWaiting.size() < mMaxQueueLength) {
+    } else if (!isShed && mWaiting.size() < mMaxQueueLength) {
       mWaiting.push_back(std::move(aJob));
     } else {
       aJob.mOnDone(TargetOutcome::Shed);
