Review case 1: spread the reads that occupy the slots

Disruption: one process is killed (node_kill) during a burst and restarted 0.5 s later. 12 slots of billing are freed 50 ms apart, so that the case doesn't depend on how fast the process starts.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int kNodes = 4;
+/** The slots of "billing": 4 workers with 3 each. */
+constexpr int kReadsAtWork = 12;
 constexpr int kReadsBefore = 14;
 constexpr int kPosts = 12;
 /** "A process that exits or is killed is restarted after a short delay." */
@@ -43,12 +45,13 @@
   std::vector<std::unique_ptr<Worker>> workers;
   int address = 0;
   for (const char* service : { "ledger", "billing" }) {
-    for (int i = 0; i < 2; ++i) {
+    int count = std::string(service) == "ledger" ? 2 : 4;
+    for (int i = 0; i < count; ++i) {
       WorkerOptions options;
       options.mId = std::string("i-") + service + std::to_string(i);
       options.mService = service;
       options.mAddress = { place->mPrefix + std::to_string(50 + ++address), place->mPort + 5 };
-      options.mZone = "zone-" + std::to_string(1 + i);
+      options.mZone = "zone-" + std::to_string(1 + i % 3);
       options.mWorkOf = WorkOf;
       workers.push_back(std::make_unique<Worker>(options, store, runs, record));
       if (!workers.back()->Start()) {
@@ -115,10 +118,10 @@
 
   // Many users come at once: reads take all slots of "billing", and more wait.
   double begin = Seconds();
-  for (int i = 0; i < 6; ++i) {
+  for (int i = 0; i < kReadsAtWork; ++i) {
     send(*others[static_cast<std::size_t>(i) % others.size()],
          "GET",
-         "/attendance/" + std::to_string(900 + 30 * i),
+         "/attendance/" + std::to_string(900 + 50 * i),
          6000);
   }
   Sleep(0.1);
@@ -166,5 +169,6 @@
               runs.All().size());
   printf("requests run by a wrong service: %d\n", foreign);
   nodes.clear();
+  fflush(stdout);
   _exit(foreign > 0 ? kBroken : kHeld);
 }
--- a/review/standin/Standin.h
+++ b/review/standin/Standin.h
@@ -515,6 +515,8 @@
   /** Overrides mWorkSeconds for one request. */
   std::function<double(const Message&)> mWorkOf;
   std::string mBody = "the worker's bytes";
+  /** The test calls Heartbeat() itself. */
+  bool mBeatsByHand = false;
   /** Makes the answer to one run; empty: a sound one. */
   std::function<std::string(const Message&, const std::string& aSound)> mSpoil;
 };
@@ -538,6 +540,9 @@
       return false;
     }
     Register();
+    if (mOptions.mBeatsByHand) {
+      return true;
+    }
     std::thread([this] {
       while (true) {
         Sleep(1.5);
@@ -551,12 +556,23 @@
     return true;
   }
 
+  /** Writes the worker's entry once more. */
+  void Heartbeat() { Register(); }
+
+  /** The entry that the next heartbeat writes; it counts as sent. */
+  std::string NextEntry()
+  {
+    std::lock_guard<std::mutex> lock(mStateMutex);
+    return EntryLocked();
+  }
+
   /** Reports "draining" and returns when the store has accepted the report. */
   void Drain()
   {
     {
       std::lock_guard<std::mutex> lock(mStateMutex);
       mState = "draining";
+      mIsLeaving = true;
       RegisterLocked();
     }
     mRecord.Line("worker %s (%s): the store has accepted its report \"draining\"",
@@ -564,13 +580,14 @@
                  mOptions.mService.c_str());
   }
 
-  /** Removes the entry of a worker that leaves. */
-  void Leave()
+  /** Ends the worker: its entry is removed and its connections end. */
+  void Exit()
   {
     std::lock_guard<std::mutex> lock(mStateMutex);
     mState = "gone";
+    mHasExited = true;
     mStore.Put("keyed.servers", mOptions.mId, "");
-    mRecord.Line("worker %s (%s) leaves: its entry is removed",
+    mRecord.Line("worker %s (%s) exits",
                  mOptions.mId.c_str(),
                  mOptions.mService.c_str());
     mServer.Stop();
@@ -585,14 +602,17 @@
     RegisterLocked();
   }
 
-  void RegisterLocked()
+  void RegisterLocked() { mStore.Put("keyed.servers", mOptions.mId, EntryLocked()); }
+
+  std::string EntryLocked()
   {
     std::ostringstream entry;
     entry << "{\"service\":\"" << mOptions.mService << "\",\"address\":\""
           << mOptions.mAddress.Text() << "\",\"zone\":\"" << mOptions.mZone
           << "\",\"version\":\"v1\",\"capacity\":" << mOptions.mCapacity << ",\"state\":\""
-          << mState << "\",\"warmup_left_s\":0,\"sequence\":" << ++mSequence << "}";
-    mStore.Put("keyed.servers", mOptions.mId, entry.str());
+          << mState << "\",\"warmup_left_s\":0,\"sequence\":" << ++mSequence
+          << ",\"born\":" << mBorn << "}";
+    return entry.str();
   }
 
   std::string Rejection(const Message& aRequest, int aStatus, const char* aReason, bool aIsShed)
@@ -601,10 +621,13 @@
     return "HTTP/1.1 " + std::to_string(aStatus) + " " + aReason +
            "\r\nVanillascale-Served-By: " + mOptions.mId +
            (id.empty() ? "" : "\r\nVanillascale-Request-Id: " + id) +
-           (aIsShed ? "\r\nVanillascale-Not-Executed: 1" : "") +
+           (aIsShed ? "\r\nVanillascale-Not-Executed: 1" : "") + Leaving() +
            "\r\nContent-Length: 0\r\n\r\n";
   }
 
+  /** A worker that leaves says so in all its answers. */
+  std::string Leaving() const { return mIsLeaving ? "\r\nServer-Leaving: 1" : ""; }
+
   void Handle(int aFd)
   {
     Reader reader(aFd);
@@ -675,7 +698,7 @@
     bool isLate = false;
     while (Seconds() < end && !isDropped && !isLate) {
       Sleep(std::min(0.01, end - Seconds()));
-      isDropped = HasHungUp(aFd);
+      isDropped = HasHungUp(aFd) || mHasExited;
       isLate = Seconds() >= deadline;
     }
     {
@@ -685,15 +708,16 @@
     mFree.notify_all();
     if (isDropped) {
       mRuns.End(run, false);
-      mRecord.Line("worker %s: the connection of request %s was closed, work ends",
+      mRecord.Line("worker %s: %s, work on request %s ends",
                    mOptions.mId.c_str(),
+                   mHasExited ? "the worker exits" : "the connection was closed",
                    id.c_str());
       return false;
     }
     std::string sound =
       std::string("HTTP/1.1 ") + (isLate ? "504 Gateway Timeout" : "200 OK") +
       "\r\nVanillascale-Request-Id: " + id +
-      "\r\nVanillascale-Upstream-Signature: " + mOptions.mId + "." + id +
+      "\r\nVanillascale-Upstream-Signature: " + mOptions.mId + "." + id + Leaving() +
       "\r\nContent-Length: " + std::to_string(mOptions.mBody.size()) + "\r\n\r\n" + mOptions.mBody;
     bool isSent = SendAll(aFd, mOptions.mSpoil ? mOptions.mSpoil(aRequest, sound) : sound);
     mRuns.End(run, isSent);
@@ -707,7 +731,13 @@
   Server mServer;
   std::mutex mStateMutex;
   std::string mState;
+  std::atomic<bool> mIsLeaving{ false };
+  std::atomic<bool> mHasExited{ false };
   unsigned mSequence = 0;
+  /** The Unix millisecond of the worker's start. */
+  const long long mBorn = std::chrono::duration_cast<std::chrono::milliseconds>(
+                            std::chrono::system_clock::now().time_since_epoch())
+                            .count();
   std::mutex mSlotsMutex;
   std::condition_variable mFree;
   unsigned mBusy = 0;
