--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -41,7 +41,9 @@
     { "/fees/", "unsafe", "ledger", 2, 0.8, 1, 2 },
     { "/attendance/", "safe", "billing", 4, 2.5, 2, 2 },
   };
-  store.Put("keyed.op", "config", ConfigText("00000007", routes, { "ledger", "billing" }));
+  store.Put("keyed.op",
+            "config",
+            ConfigText("00000007", routes, { "ledger", "billing" }));
   std::vector<std::unique_ptr<Worker>> workers;
   int address = 0;
   for (const char* service : { "ledger", "billing" }) {
@@ -50,7 +52,8 @@
       WorkerOptions options;
       options.mId = std::string("i-") + service + std::to_string(i);
       options.mService = service;
-      options.mAddress = { place->mPrefix + std::to_string(50 + ++address), place->mPort + 5 };
+      options.mAddress = { place->mPrefix + std::to_string(50 + ++address),
+                           place->mPort + 5 };
       options.mZone = "zone-" + std::to_string(1 + i % 3);
       options.mWorkOf = WorkOf;
       workers.push_back(std::make_unique<Worker>(options, store, runs, record));
@@ -61,12 +64,13 @@
   }
   std::vector<std::unique_ptr<Node>> nodes;
   for (int i = 1; i <= kNodes; ++i) {
-    nodes.push_back(std::make_unique<Node>(*place,
-                                           store,
-                                           record,
-                                           i,
-                                           "zone-" + std::to_string(1 + (i - 1) % 3),
-                                           SeedsOf(*place, kNodes)));
+    nodes.push_back(
+      std::make_unique<Node>(*place,
+                             store,
+                             record,
+                             i,
+                             "zone-" + std::to_string(1 + (i - 1) % 3),
+                             SeedsOf(*place, kNodes)));
     if (!nodes.back()->HasStore() || !nodes.back()->Start(true)) {
       return kCouldNotRun;
     }
@@ -81,7 +85,8 @@
   // A few calm requests through the first node, after which the logs tell which
   // nodes are schedulers. The process that is killed is another one.
   for (int i = 0; i < 3; ++i) {
-    SendOne(record, *nodes[0], "POST", "/fees/50", NewRequestId(), 2000, "fee=1");
+    SendOne(
+      record, *nodes[0], "POST", "/fees/50", NewRequestId(), 2000, "fee=1");
     SendOne(record, *nodes[0], "GET", "/attendance/50", NewRequestId(), 6000);
   }
   Sleep(0.5);
@@ -104,16 +109,26 @@
   std::vector<std::thread> clients;
   std::mutex mutex;
   std::set<std::string> posts;
-  auto send = [&](Node& aNode, const char* aMethod, const std::string& aPath, int aDeadlineMs) {
+  auto send = [&](Node& aNode,
+                  const char* aMethod,
+                  const std::string& aPath,
+                  int aDeadlineMs) {
     std::string id = NewRequestId();
     bool isPost = std::string(aMethod) == "POST";
     if (isPost) {
       std::lock_guard<std::mutex> lock(mutex);
       posts.insert(id);
     }
-    clients.emplace_back([&record, &aNode, aMethod, aPath, id, aDeadlineMs, isPost] {
-      SendOne(record, aNode, aMethod, aPath, id, aDeadlineMs, isPost ? "fee=1" : "");
-    });
+    clients.emplace_back(
+      [&record, &aNode, aMethod, aPath, id, aDeadlineMs, isPost] {
+        SendOne(record,
+                aNode,
+                aMethod,
+                aPath,
+                id,
+                aDeadlineMs,
+                isPost ? "fee=1" : "");
+      });
   };
 
   // Many users come at once: reads take all slots of "billing", and more wait.
@@ -141,7 +156,10 @@
     Sleep(kRestartDelay);
   }
   for (int i = 0; i < 12; ++i) {
-    send(*others[static_cast<std::size_t>(i) % others.size()], "POST", "/fees/250", 2000);
+    send(*others[static_cast<std::size_t>(i) % others.size()],
+         "POST",
+         "/fees/250",
+         2000);
   }
   for (int i = 0; i < kPosts; ++i) {
     send(*victim, "POST", "/fees/250", 2000);
@@ -152,9 +170,10 @@
 
   int foreign = 0;
   for (const Run& it : runs.All()) {
-    bool isWrong = it.mStart.find("/fees/") != std::string::npos && it.mService != "ledger";
-    bool isWrongRead =
-      it.mStart.find("/attendance/") != std::string::npos && it.mService != "billing";
+    bool isWrong =
+      it.mStart.find("/fees/") != std::string::npos && it.mService != "ledger";
+    bool isWrongRead = it.mStart.find("/attendance/") != std::string::npos &&
+                       it.mService != "billing";
     if (isWrong || isWrongRead) {
       ++foreign;
       record.Line("ROUTE: request %s (%s) was run by %s of service %s",
@@ -164,7 +183,8 @@
                   it.mService.c_str());
     }
   }
-  record.Line("%d of %zu runs were at a service to which no configuration allows them to go",
+  record.Line("%d of %zu runs were at a service to which no configuration "
+              "allows them to go",
               foreign,
               runs.All().size());
   printf("requests run by a wrong service: %d\n", foreign);
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,7 +4,9 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/vanillascaled ] && [ -x review/build-cases/case-1 ] || exit 2
-timeout -k 5 110 review/build-cases/case-1 "$here/record.txt"
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+TMPDIR=$folder timeout -k 5 110 review/build-cases/case-1 "$here/record.txt"
 result=$?
 [ $result -le 2 ] || result=2
 exit $result
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,6 +1,7 @@
-// The node that schedules a service is cut off from the store. It goes on to grant
-// targets by its old list: the other nodes, which know that workers are leaving, send
-// posts to these workers on its word, and the posts are cut when the workers exit.
+// The node that schedules a service is cut off from the store. It goes on to
+// grant targets by its old list: the other nodes, which know that workers are
+// leaving, send posts to these workers on its word, and the posts are cut when
+// the workers exit.
 
 #include "../standin/Standin.h"
 
@@ -38,15 +39,19 @@
   }
   Store store(record);
   Runs runs;
-  store.Put("keyed.op",
-            "config",
-            ConfigText("00000007", { { "/invoices/", "unsafe", "billing", 1.2, 0.5, 0, 2 } }, { "billing" }));
+  store.Put(
+    "keyed.op",
+    "config",
+    ConfigText("00000007",
+               { { "/invoices/", "unsafe", "billing", 1.2, 0.5, 0, 2 } },
+               { "billing" }));
   std::vector<std::unique_ptr<Worker>> workers;
   for (int i = 0; i < kWorkers; ++i) {
     WorkerOptions options;
     options.mId = "i-billing" + std::to_string(i);
     options.mService = "billing";
-    options.mAddress = { place->mPrefix + std::to_string(50 + i), place->mPort + 5 };
+    options.mAddress = { place->mPrefix + std::to_string(50 + i),
+                         place->mPort + 5 };
     options.mZone = "zone-" + std::to_string(1 + i % kNodes);
     options.mWorkSeconds = 0.13;
     workers.push_back(std::make_unique<Worker>(options, store, runs, record));
@@ -56,8 +61,12 @@
   }
   std::vector<std::unique_ptr<Node>> nodes;
   for (int i = 1; i <= kNodes; ++i) {
-    nodes.push_back(std::make_unique<Node>(
-      *place, store, record, i, "zone-" + std::to_string(i), SeedsOf(*place, kNodes)));
+    nodes.push_back(std::make_unique<Node>(*place,
+                                           store,
+                                           record,
+                                           i,
+                                           "zone-" + std::to_string(i),
+                                           SeedsOf(*place, kNodes)));
     if (!nodes.back()->HasStore() || !nodes.back()->Start(true)) {
       return kCouldNotRun;
     }
@@ -99,7 +108,8 @@
     }
   }
   if (HasTrouble()) {
-    record.Line("%s, which schedules billing, is cut off from the store", scheduler->Name().c_str());
+    record.Line("%s, which schedules billing, is cut off from the store",
+                scheduler->Name().c_str());
     scheduler->StorePath().mIsCut = true;
   }
   double cutAt = Seconds();
@@ -124,11 +134,13 @@
   std::vector<std::thread> clients;
   for (int i = 1; i <= 3; ++i) {
     Sleep(drainedAt + 0.5 * i - Seconds());
-    clients.emplace_back(send, std::ref(*others[clients.size() % others.size()]));
+    clients.emplace_back(send,
+                         std::ref(*others[clients.size() % others.size()]));
   }
   Sleep(drainedAt + kBurst - Seconds());
   for (int i = 0; i < kPostsAtOnce; ++i) {
-    clients.emplace_back(send, std::ref(*others[clients.size() % others.size()]));
+    clients.emplace_back(send,
+                         std::ref(*others[clients.size() % others.size()]));
   }
   exits.join();
   Sleep(cutAt + kCut - Seconds());
@@ -146,18 +158,24 @@
       if (isLeaving && run.mArrivedAt > drainedAt + kDrain) {
         ++late;
         cut += run.mIsAnswered ? 0 : 1;
-        record.Line("DRAIN: post %s reached %s %.3f s after the store had accepted that it is "
+        record.Line("DRAIN: post %s reached %s %.3f s after the store had "
+                    "accepted that it is "
                     "draining; it was sent %.3f s after that%s",
                     it.mId.c_str(),
                     run.mWorker.c_str(),
                     run.mArrivedAt - drainedAt,
                     it.mSentAt - drainedAt,
-                    run.mIsAnswered ? "" : ", and was cut when the worker exited");
+                    run.mIsAnswered ? ""
+                                    : ", and was cut when the worker exited");
       }
     }
   }
-  record.Line("%d requests reached a leaving worker later than drain_s, %d of these were cut", late, cut);
-  printf("requests at leaving workers later than drain_s: %d, cut: %d\n", late, cut);
+  record.Line("%d requests reached a leaving worker later than drain_s, %d of "
+              "these were cut",
+              late,
+              cut);
+  printf(
+    "requests at leaving workers later than drain_s: %d, cut: %d\n", late, cut);
   nodes.clear();
   fflush(stdout);
   _exit(late > 0 ? kBroken : kHeld);
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,6 +1,7 @@
-// An answer of the store to a worker's entry is lost, and the entry is written seconds
-// later: after the worker has reported "draining". The proxies take the old entry, which
-// has a lower `sequence`, for the newest and use the leaving worker again.
+// An answer of the store to a worker's entry is lost, and the entry is written
+// seconds later: after the worker has reported "draining". The proxies take the
+// old entry, which has a lower `sequence`, for the newest and use the leaving
+// worker again.
 
 #include "../standin/Standin.h"
 
@@ -16,8 +17,8 @@
 constexpr double kHeartbeat = 1.5;
 /** The store has been stable for `stable_window_s` when the workers drain. */
 constexpr double kStable = 3.05;
-/** "A call that receives no response [...] may be executed seconds later"; 1 to 6 s
- * later by `fleetbench kinds`. */
+/** "A call that receives no response [...] may be executed seconds later"; 1 to
+ * 6 s later by `fleetbench kinds`. */
 constexpr double kWrittenLate = 5.15;
 constexpr double kDrain = 2;
 /** A worker that leaves exits a little later than `drain_s`. */
@@ -43,15 +44,19 @@
   }
   Store store(record);
   Runs runs;
-  store.Put("keyed.op",
-            "config",
-            ConfigText("00000007", { { "/invoices/", "unsafe", "billing", 1.2, 0.5, 0, 2 } }, { "billing" }));
+  store.Put(
+    "keyed.op",
+    "config",
+    ConfigText("00000007",
+               { { "/invoices/", "unsafe", "billing", 1.2, 0.5, 0, 2 } },
+               { "billing" }));
   std::vector<std::unique_ptr<Worker>> workers;
   for (std::size_t i = 0; i < kWorkers; ++i) {
     WorkerOptions options;
     options.mId = "i-billing" + std::to_string(i);
     options.mService = "billing";
-    options.mAddress = { place->mPrefix + std::to_string(50 + i), place->mPort + 5 };
+    options.mAddress = { place->mPrefix + std::to_string(50 + i),
+                         place->mPort + 5 };
     options.mZone = "zone-" + std::to_string(1 + i % kNodes);
     options.mBeatsByHand = i >= kWorkers - 6 && i < kWorkers - 3;
     options.mWorkSeconds = 0.13;
@@ -62,8 +67,12 @@
   }
   std::vector<std::unique_ptr<Node>> nodes;
   for (int i = 1; i <= kNodes; ++i) {
-    nodes.push_back(std::make_unique<Node>(
-      *place, store, record, i, "zone-" + std::to_string(i), SeedsOf(*place, kNodes)));
+    nodes.push_back(std::make_unique<Node>(*place,
+                                           store,
+                                           record,
+                                           i,
+                                           "zone-" + std::to_string(i),
+                                           SeedsOf(*place, kNodes)));
     if (!nodes.back()->HasStore() || !nodes.back()->Start(true)) {
       return kCouldNotRun;
     }
@@ -101,7 +110,9 @@
   std::vector<std::string> delayed;
   for (Worker* it : leavingWorkers) {
     delayed.push_back(it->NextEntry());
-    record.Line("worker %s writes %s and gets no answer", it->Options().mId.c_str(), delayed.back().c_str());
+    record.Line("worker %s writes %s and gets no answer",
+                it->Options().mId.c_str(),
+                delayed.back().c_str());
   }
   double lostAt = Seconds();
   std::vector<std::thread> threads;
@@ -117,7 +128,8 @@
   threads.emplace_back([&] {
     Sleep(lostAt + kWrittenLate - Seconds());
     for (std::size_t i = 0; i < leavingWorkers.size() && HasTrouble(); ++i) {
-      record.Line("the store executes the delayed write of %s", leavingWorkers[i]->Options().mId.c_str());
+      record.Line("the store executes the delayed write of %s",
+                  leavingWorkers[i]->Options().mId.c_str());
       store.Put("keyed.servers", leavingWorkers[i]->Options().mId, delayed[i]);
     }
   });
@@ -155,18 +167,24 @@
       if (isLeaving && run.mArrivedAt > drainedAt + kDrain) {
         ++late;
         cut += run.mIsAnswered ? 0 : 1;
-        record.Line("DRAIN: post %s reached %s %.3f s after the store had accepted that it is "
+        record.Line("DRAIN: post %s reached %s %.3f s after the store had "
+                    "accepted that it is "
                     "draining; it was sent %.3f s after that%s",
                     it.mId.c_str(),
                     run.mWorker.c_str(),
                     run.mArrivedAt - drainedAt,
                     it.mSentAt - drainedAt,
-                    run.mIsAnswered ? "" : ", and was cut when the worker exited");
+                    run.mIsAnswered ? ""
+                                    : ", and was cut when the worker exited");
       }
     }
   }
-  record.Line("%d requests reached a leaving worker later than drain_s, %d of these were cut", late, cut);
-  printf("requests at leaving workers later than drain_s: %d, cut: %d\n", late, cut);
+  record.Line("%d requests reached a leaving worker later than drain_s, %d of "
+              "these were cut",
+              late,
+              cut);
+  printf(
+    "requests at leaving workers later than drain_s: %d, cut: %d\n", late, cut);
   nodes.clear();
   fflush(stdout);
   _exit(late > 0 ? kBroken : kHeld);
