--- a/src/Ids.h
+++ b/src/Ids.h
@@ -55,7 +55,9 @@
 /** An idempotency key set by a caller (a UUIDv7 in text form). */
 using RequestKey = Id<struct RequestKeyKind>;
 
-/** A caller's request, numbered by the proxy that received it. */
+/** A caller's request, numbered by the proxy that received it. In messages
+ * between nodes the number also tells processes of a node apart; see
+ * PeerRequestId.h. */
 using RequestId = std::uint64_t;
 /** A slot lease: the scheduler's epoch in the upper 32 bits, a counter in the
  * lower 32 bits. */
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -65,7 +65,8 @@
 };
 
 /** Requests a slot from the scheduler of a service. The sender and mRequest
- * identify a repeated request. */
+ * identify a repeated request. mRequest, here and in all other messages about a
+ * request, differs from the ids that earlier processes of the node used. */
 struct LeaseRequest
 {
   ServiceName mService;
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -108,6 +108,11 @@
              "Slot leases returned because the target had stated that it "
              "accepts no request",
              static_cast<double>(counters.mDeclinedGrants));
+  AddCounter(aRegistry,
+             "vanillascale_unmatched_grants_total",
+             "Slot leases returned because their request has ended or is of an "
+             "earlier process",
+             static_cast<double>(counters.mUnmatchedGrants));
   AddHistogram(aRegistry,
                "vanillascale_slot_wait_seconds",
                "Time from the request for a slot to the send",
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -1,5 +1,6 @@
 #include "Proxy.h"
 
+#include "PeerRequestId.h"
 #include "ProxyAdmission.h"
 #include "ProxyCompletion.h"
 #include "ProxyIntents.h"
@@ -179,6 +180,7 @@
     aState.mRequests
       .emplace(aRequest.mRequest, MakeRequest(aContext, aRequest, *route))
       .first->second;
+  request.mPeerId = ToPeerRequestId(aState.mIncarnation, aRequest.mRequest);
   if (!route->mShares.empty()) {
     request.mService = PickService(
       aState.mRouteSpreads[route->mName], route->mShares, aContext.mRandom);
@@ -270,9 +272,11 @@
              const NodeId& aFrom,
              const LeaseGrant& aGrant)
 {
-  ProxyRequest* request = FindRequest(aState, aGrant.mRequest);
+  ProxyRequest* request = FindRequestOfPeer(aState, aGrant.mRequest);
   if (!request) {
-    // The request has ended and its service is no longer known.
+    // The request has ended or is one of an earlier process, so that its
+    // service is not known.
+    ++aState.mCounters.mUnmatchedGrants;
     ReturnUnusedLease(aContext, aFrom, ServiceName(), aGrant.mLease);
     return;
   }
@@ -300,7 +304,7 @@
              const NodeId& aFrom,
              const LeaseRefusal& aRefusal)
 {
-  ProxyRequest* request = FindRequest(aState, aRefusal.mRequest);
+  ProxyRequest* request = FindRequestOfPeer(aState, aRefusal.mRequest);
   if (!request) {
     return;
   }
@@ -319,7 +323,7 @@
              const NodeId& aFrom,
              const LeaseQueued& aQueued)
 {
-  if (ProxyRequest* request = FindRequest(aState, aQueued.mRequest)) {
+  if (ProxyRequest* request = FindRequestOfPeer(aState, aQueued.mRequest)) {
     request->mIsQueued = true;
     RecordSchedulerMessage(aState, aContext, request->mService, aFrom);
   }
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -35,6 +35,8 @@
 struct ProxyRequest
 {
   RequestId mId = 0;
+  /** The id by which other nodes know it; see PeerRequestId.h. */
+  RequestId mPeerId = 0;
   /** The caller's id of the request, for the log. */
   std::string mName;
   ServiceName mService;
@@ -128,7 +130,8 @@
   std::uint64_t mSends = 0;
   std::uint64_t mRetries = 0;
   std::uint64_t mFallbackSends = 0;
-  std::uint64_t mExpiredGrants = 0;
+  /** Grants of requests that have ended or are of an earlier process. */
+  std::uint64_t mUnmatchedGrants = 0;
   /** Grants of targets that had stated that they accept no request. */
   std::uint64_t mDeclinedGrants = 0;
   /** From a request's arrival to its answer, indexed by RunOutcome. */
@@ -160,6 +163,7 @@
   std::unordered_map<RequestKey, RequestId> mRunningKeys;
   std::map<ServiceName, SchedulerLink> mSchedulerLinks;
   std::unordered_map<RouteName, WeightedRoundRobin> mRouteSpreads;
+  /** By the ids by which other nodes know the requests. */
   std::map<RequestId, AbandonedIntent> mAbandonedIntents;
   AnswerCache mAnswerCache;
   ProxyCounters mCounters;
--- a/src/ProxyCompletion.cpp
+++ b/src/ProxyCompletion.cpp
@@ -1,5 +1,6 @@
 #include "ProxyCompletion.h"
 
+#include "PeerRequestId.h"
 #include "ProxyIntents.h"
 #include "ProxyLog.h"
 #include "ProxyVerdicts.h"
@@ -13,6 +14,12 @@
   return it == aState.mRequests.end() ? nullptr : &it->second;
 }
 
+ProxyRequest*
+FindRequestOfPeer(ProxyState& aState, RequestId aPeerId)
+{
+  return FindRequest(aState, FromPeerRequestId(aState.mIncarnation, aPeerId));
+}
+
 void
 CountOutcome(ProxyState& aState, RunOutcome aOutcome)
 {
--- a/src/ProxyCompletion.h
+++ b/src/ProxyCompletion.h
@@ -12,6 +12,11 @@
 ProxyRequest*
 FindRequest(ProxyState& aState, RequestId aId);
 
+/** Returns the request that peers know by aPeerId, or null where it has
+ * finished or is not of this process. */
+ProxyRequest*
+FindRequestOfPeer(ProxyState& aState, RequestId aPeerId);
+
 /** Counts a request by the outcome that its caller is told. */
 void
 CountOutcome(ProxyState& aState, RunOutcome aOutcome);
--- a/src/ProxyIntents.cpp
+++ b/src/ProxyIntents.cpp
@@ -65,7 +65,7 @@
                     aContext,
                     writer,
                     aRequest.mKey,
-                    aRequest.mId,
+                    aRequest.mPeerId,
                     aRequest.mFingerprint,
                     aIsRevocation);
 }
@@ -104,7 +104,7 @@
   abandoned.mKey = aRequest.mKey;
   abandoned.mNextRequestAt = aContext.mNow;
   abandoned.mGiveUpAt = aContext.mNow + kAbandonedIntentTimeout;
-  aState.mAbandonedIntents.emplace(aRequest.mId, std::move(abandoned));
+  aState.mAbandonedIntents.emplace(aRequest.mPeerId, std::move(abandoned));
 }
 
 void
@@ -113,8 +113,9 @@
   aRequest.mStage = RequestStage::AwaitingCachedAnswer;
   aRequest.mQueriedNode = aRequest.mKeyOwner.mProxy;
   aRequest.mQueriedAt = aContext.mNow;
-  aContext.mEffects.push_back(SendToPeer{
-    aRequest.mQueriedNode, CachedAnswerQuery{ aRequest.mId, aRequest.mKey } });
+  aContext.mEffects.push_back(
+    SendToPeer{ aRequest.mQueriedNode,
+                CachedAnswerQuery{ aRequest.mPeerId, aRequest.mKey } });
 }
 
 void
--- a/src/ProxyKeyMessages.cpp
+++ b/src/ProxyKeyMessages.cpp
@@ -84,7 +84,7 @@
       aDecision.mState == IntentState::Lost) {
     aState.mAbandonedIntents.erase(aDecision.mRequest);
   }
-  ProxyRequest* request = FindRequest(aState, aDecision.mRequest);
+  ProxyRequest* request = FindRequestOfPeer(aState, aDecision.mRequest);
   if (!request) {
     return;
   }
@@ -126,7 +126,7 @@
              const NodeId& aFrom,
              const CachedAnswerReply& aReply)
 {
-  ProxyRequest* request = FindRequest(aState, aReply.mRequest);
+  ProxyRequest* request = FindRequestOfPeer(aState, aReply.mRequest);
   bool isExpected = request &&
                     request->mStage == RequestStage::AwaitingCachedAnswer &&
                     request->mQueriedNode == aFrom;
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -128,7 +128,7 @@
 {
   LeaseRequest message;
   message.mService = aRequest.mService;
-  message.mRequest = aRequest.mId;
+  message.mRequest = aRequest.mPeerId;
   message.mRoute = aRequest.mRoute;
   message.mPriority = aRequest.mPriority;
   message.mIsLong = aRequest.mIsLong;
@@ -450,7 +450,7 @@
   if (!aRequest.mQueriedNode.mValue.empty()) {
     aContext.mEffects.push_back(
       SendToPeer{ aRequest.mQueriedNode,
-                  LeaseWithdrawal{ aRequest.mService, aRequest.mId } });
+                  LeaseWithdrawal{ aRequest.mService, aRequest.mPeerId } });
   }
 }
 
