Decline grants of targets that the holder knows to be leaving or gone

A grant now carries the end of the target list that it is based on. A proxy returns the grant of a target that it knows to be leaving, or that its own list, if that is at least as new, no longer contains. The scheduler excludes the target if the holder's list is the newer one.

--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -29,6 +29,7 @@
   { kEventCallerGone, "CallerGone" },
   { kEventSlotRefused, "SlotRefused" },
   { kEventRequestDelayed, "RequestDelayed" },
+  { kEventGrantDeclined, "GrantDeclined" },
   { kEventChangeFolded, "ChangeFolded" },
   { kEventCheckpointWritten, "CheckpointWritten" },
   { kEventDocumentRead, "DocumentRead" },
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -22,6 +22,7 @@
 constexpr int kEventCallerGone = 204;
 constexpr int kEventSlotRefused = 206;
 constexpr int kEventRequestDelayed = 207;
+constexpr int kEventGrantDeclined = 208;
 
 constexpr int kEventChangeFolded = 300;
 constexpr int kEventCheckpointWritten = 302;
--- a/src/LocalBalancer.cpp
+++ b/src/LocalBalancer.cpp
@@ -172,6 +172,16 @@
          (it->second.mStatesLeaving || aNow < it->second.mPausedUntil);
 }
 
+TargetListing
+ListingOf(const LocalBalancer& aBalancer, const TargetId& aTarget)
+{
+  auto it = aBalancer.mTargets.find(aTarget);
+  if (it == aBalancer.mTargets.end()) {
+    return TargetListing::Unlisted;
+  }
+  return it->second.mIsLeaving ? TargetListing::Leaving : TargetListing::InUse;
+}
+
 std::vector<StatedTarget>
 StatementsOf(const LocalBalancer& aBalancer, TimePoint aNow)
 {
--- a/src/LocalBalancer.h
+++ b/src/LocalBalancer.h
@@ -100,6 +100,18 @@
                  TimePoint aNow,
                  const TargetId& aTarget);
 
+/** How the VM list describes a target. */
+enum class TargetListing
+{
+  Unlisted,
+  Leaving,
+  InUse
+};
+
+/** Returns how the VM list describes a target. */
+TargetListing
+ListingOf(const LocalBalancer& aBalancer, const TargetId& aTarget);
+
 /** Returns what targets have stated to this proxy, for a new scheduler. */
 std::vector<StatedTarget>
 StatementsOf(const LocalBalancer& aBalancer, TimePoint aNow);
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -117,7 +117,10 @@
   LeaseId mLease = 0;
   TargetId mTarget;
   Duration mSendWithin{ 0 };
-  MSGPACK_DEFINE(mRequest, mLease, mTarget, mSendWithin)
+  /** The end of the target list that the target was chosen from; 0 if the
+   * platform's lists have no offsets. */
+  LogOffset mTargetListEnd = 0;
+  MSGPACK_DEFINE(mRequest, mLease, mTarget, mSendWithin, mTargetListEnd)
 };
 
 /** Why a LeaseRequest was refused. */
@@ -180,7 +183,15 @@
   Duration mLatency{ 0 };
   /** What the target stated of itself in its answer, if there was one. */
   std::optional<TargetStatements> mStatements;
-  MSGPACK_DEFINE(mService, mLease, mOutcome, mLatency, mStatements)
+  /** Set if the lease was not used because the target is leaving or gone by the
+   * holder's target list: the end of that list. */
+  std::optional<LogOffset> mDeclinedAtListEnd;
+  MSGPACK_DEFINE(mService,
+                 mLease,
+                 mOutcome,
+                 mLatency,
+                 mStatements,
+                 mDeclinedAtListEnd)
 };
 
 /** Asks a proxy whether it still holds the given long-running leases. The proxy
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -77,6 +77,7 @@
            aState.mMembers,
            aState.mConfig.mConfig,
            aState.mVms,
+           TargetListEnd(aState),
            aState.mRandom,
            aEffects,
            AdmissionDuringShutdown(aState, aNow),
@@ -122,6 +123,7 @@
   if (aState.mHasVms) {
     UpdatePool(scheduler.mPool, aNow, aService.mVmGroup, ValuesOf(aState.mVms));
   }
+  scheduler.mTargetListEnd = TargetListEnd(aState);
   aEffects.push_back(
     WriteEvent{ kEventSchedulerStarted, "service=" + aService.mName.mValue });
   return scheduler;
--- a/src/NodeFeeds.cpp
+++ b/src/NodeFeeds.cpp
@@ -207,6 +207,13 @@
   return it == services.end() ? nullptr : &it->second;
 }
 
+LogOffset
+TargetListEnd(const NodeState& aState)
+{
+  auto it = aState.mFeeds.find(kTargetTopic);
+  return it == aState.mFeeds.end() ? 0 : it->second.mEnd;
+}
+
 void
 ApplyVmList(NodeState& aState, TimePoint aNow, const std::vector<Vm>& aVms)
 {
@@ -231,6 +238,9 @@
     }
   }
   KeyedFeedState& targets = aState.mFeeds.at(kTargetTopic);
+  for (auto& [name, scheduler] : aState.mSchedulers) {
+    scheduler.mTargetListEnd = targets.mEnd;
+  }
   bool isFirst = targets.mIsLoaded && !aState.mHasVms;
   if (targets.mVersion == aState.mSeenTargetsVersion && !isFirst) {
     return;
--- a/src/NodeFeeds.h
+++ b/src/NodeFeeds.h
@@ -15,6 +15,11 @@
 const Service*
 FindService(const NodeState& aState, const ServiceName& aName);
 
+/** Returns the end of the node's target list; 0 if the platform's lists have no
+ * offsets, or none has been read. */
+LogOffset
+TargetListEnd(const NodeState& aState);
+
 /** Replaces the VM list and updates the members, the schedulers' target pools
  * and the proxy's local targets. */
 void
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -106,7 +106,7 @@
   AddCounter(aRegistry,
              "vanillascale_declined_grants_total",
              "Slot leases returned because the target had stated that it "
-             "accepts no request",
+             "accepts no request, or is leaving or gone",
              static_cast<double>(counters.mDeclinedGrants));
   AddCounter(aRegistry,
              "vanillascale_unmatched_grants_total",
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -132,7 +132,8 @@
   std::uint64_t mFallbackSends = 0;
   /** Grants of requests that have ended or are of an earlier process. */
   std::uint64_t mUnmatchedGrants = 0;
-  /** Grants of targets that had stated that they accept no request. */
+  /** Grants of targets that had stated that they accept no request, or that are
+   * leaving or gone by this node's target list. */
   std::uint64_t mDeclinedGrants = 0;
   /** From a request's arrival to its answer, indexed by RunOutcome. */
   std::array<LatencyHistogram, 3> mDurations{};
@@ -193,6 +194,9 @@
   const MembershipState& mMembers;
   const ConfigState& mConfig;
   const VmsByKey& mVms;
+  /** The end of the node's target list; 0 if the platform's lists have no
+   * offsets. */
+  LogOffset mTargetListEnd = 0;
   Random& mRandom;
   Effects& mEffects;
   /** Which new requests are rejected because of a shutdown. */
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -3,6 +3,7 @@
 #include "Duties.h"
 #include "EventNumbers.h"
 #include "Hash.h"
+#include "ProxyLog.h"
 
 #include <algorithm>
 
@@ -306,6 +307,21 @@
   }
 }
 
+/** Returns whether the target of a grant is leaving or gone by this node's
+ * target list. A target that is missing from the list may be a new one, unless
+ * the list is at least as new as the one that the scheduler chose it from. */
+bool
+IsLeavingOrGone(const ProxyContext& aContext,
+                const LocalBalancer& aTargets,
+                const LeaseGrant& aGrant)
+{
+  TargetListing listing = ListingOf(aTargets, aGrant.mTarget);
+  bool isListNewer = aGrant.mTargetListEnd > 0 &&
+                     aContext.mTargetListEnd >= aGrant.mTargetListEnd;
+  return listing == TargetListing::Leaving ||
+         (listing == TargetListing::Unlisted && isListNewer);
+}
+
 /** Sends a service's waiting requests to locally chosen targets, as far as the
  * local limits allow, the most urgent first. */
 void
@@ -411,13 +427,19 @@
 {
   const LocalBalancer& targets =
     aState.mSchedulerLinks.at(aRequest.mService).mLocalChoice;
-  if (!DeclinesRequests(targets, aContext.mNow, aGrant.mTarget)) {
+  bool hasStated = DeclinesRequests(targets, aContext.mNow, aGrant.mTarget);
+  bool isUnlisted = IsLeavingOrGone(aContext, targets, aGrant);
+  if (!hasStated && !isUnlisted) {
     return false;
   }
+  LogDeclinedGrant(aContext, aRequest, aScheduler, aGrant, isUnlisted);
   LeaseReport report;
   report.mService = aRequest.mService;
   report.mLease = aGrant.mLease;
   report.mOutcome = TargetOutcome::Unused;
+  if (isUnlisted) {
+    report.mDeclinedAtListEnd = aContext.mTargetListEnd;
+  }
   for (const StatedTarget& it : StatementsOf(targets, aContext.mNow)) {
     if (it.mTarget == aGrant.mTarget) {
       report.mStatements = it.mStatements;
--- a/src/ProxyLeases.h
+++ b/src/ProxyLeases.h
@@ -31,9 +31,11 @@
             TargetOutcome aOutcome,
             const std::optional<TargetStatements>& aStatements);
 
-/** Returns a grant of a target that has stated to this proxy that it accepts no
- * request now, with the statement, and requests a lease of another target. Does
- * nothing and returns false if the target has not stated this. */
+/** Returns a grant whose target must not be sent requests, as far as this proxy
+ * knows, and requests a lease of another target: the target has stated that it
+ * accepts no request now, or this node's target list marks it as leaving, or
+ * the list is at least as new as the scheduler's and no longer contains it. The
+ * scheduler is told why. Does nothing and returns false for any other grant. */
 bool
 DeclineGrant(ProxyState& aState,
              const ProxyContext& aContext,
--- a/src/ProxyLog.cpp
+++ b/src/ProxyLog.cpp
@@ -114,6 +114,22 @@
       " left_ms=" + FormatMilliseconds(aRequest.mDeadlineAt - aContext.mNow) });
 }
 
+void
+LogDeclinedGrant(const ProxyContext& aContext,
+                 const ProxyRequest& aRequest,
+                 const NodeId& aScheduler,
+                 const LeaseGrant& aGrant,
+                 bool aIsUnlisted)
+{
+  aContext.mEffects.push_back(WriteEvent{
+    kEventGrantDeclined,
+    FormatRequestFields(aContext, aRequest) +
+      " target=" + aGrant.mTarget.mValue + " scheduler=" + aScheduler.mValue +
+      " reason=" + (aIsUnlisted ? "listed" : "stated") +
+      " list_end=" + std::to_string(aContext.mTargetListEnd) +
+      " scheduler_list_end=" + std::to_string(aGrant.mTargetListEnd) });
+}
+
 void
 LogRefusal(const ProxyContext& aContext,
            const CallerRequest& aRequest,
--- a/src/ProxyLog.h
+++ b/src/ProxyLog.h
@@ -20,6 +20,16 @@
               const ProxyRequest& aRequest,
               TargetOutcome aOutcome);
 
+/** Logs a grant that is returned because of what this node knows of its target,
+ * with the ends of both target lists. aIsUnlisted: by its target list, and not
+ * by the target's own statement. */
+void
+LogDeclinedGrant(const ProxyContext& aContext,
+                 const ProxyRequest& aRequest,
+                 const NodeId& aScheduler,
+                 const LeaseGrant& aGrant,
+                 bool aIsUnlisted);
+
 /** Logs a request that was rejected on arrival, before any state was made for
  * it. */
 void
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -152,7 +152,8 @@
                                    LeaseGrant{ aRequest.mRequest,
                                                granted->second,
                                                lease.mTarget,
-                                               aRequest.mDeadline } });
+                                               aRequest.mDeadline,
+                                               lease.mTargetListEnd } });
     return;
   }
   if (FindQueued(aState.mQueue, aFrom, aRequest.mRequest)) {
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -27,6 +27,8 @@
   TargetId mTarget;
   RequestId mRequest = 0;
   std::uint32_t mRoute = 0;
+  /** The end of the target list that the target was chosen from. */
+  LogOffset mTargetListEnd = 0;
   bool mIsLong = false;
   bool mIsIdempotent = true;
   std::uint8_t mPriority = 1;
@@ -88,6 +90,8 @@
   /** When any proxy last sent a LeaseRequest or a LeaseSync. */
   TimePoint mLastClientMessageAt{};
   TargetPool mPool;
+  /** The end of the target list that mPool was last updated from. */
+  LogOffset mTargetListEnd = 0;
   LeaseQueue mQueue;
   std::unordered_map<LeaseId, ActiveLease> mLeases;
   /** Leases by holder and request; a repeated request gets the same lease. */
--- a/src/SchedulerEvidence.cpp
+++ b/src/SchedulerEvidence.cpp
@@ -43,6 +43,13 @@
 constexpr double kMeanSmoothing = 0.02;
 /** A target that reports that it is draining shuts down within this time. */
 constexpr Duration kMaxDrainTime = seconds(15);
+/** How long a target is not granted after a proxy with a newer target list has
+ * declined it: to all, until this scheduler has most likely read the newer list
+ * itself, or is told again. */
+constexpr Duration kUnlistedExclusionTime = seconds(2);
+/** The same for the proxy alone, if its list is older: it receives the newer
+ * one with the next push. */
+constexpr Duration kStaleListPause = std::chrono::milliseconds(500);
 
 /** Returns the observation of the target that an ended request yields, or
  * nothing if its outcome is no evidence about the target. */
@@ -174,6 +181,28 @@
   }
 }
 
+/** Keeps a target that the holder of a lease has declined out of use: the newer
+ * of two target lists goes before the older one. */
+void
+ExcludeDeclinedTarget(SchedulerState& aState,
+                      TimePoint aNow,
+                      const ActiveLease& aLease,
+                      LogOffset aHolderListEnd)
+{
+  auto it = aState.mPool.mTargets.find(aLease.mTarget);
+  if (it == aState.mPool.mTargets.end()) {
+    return;
+  }
+  PooledTarget& target = it->second;
+  if (aHolderListEnd >= aState.mTargetListEnd) {
+    target.mDrainingUntil =
+      std::max(target.mDrainingUntil, aNow + kUnlistedExclusionTime);
+  } else {
+    TimePoint& until = target.mPausedFor[aLease.mHolder];
+    until = std::max(until, aNow + kStaleListPause);
+  }
+}
+
 } // namespace
 
 void
@@ -247,6 +276,9 @@
       it->second.mDrainingUntil = aNow + kMaxDrainTime;
     }
   }
+  if (aReport.mDeclinedAtListEnd) {
+    ExcludeDeclinedTarget(aState, aNow, aLease, *aReport.mDeclinedAtListEnd);
+  }
   if (aReport.mOutcome == TargetOutcome::Broken) {
     bool isHarmful = RecordCrash(aState.mHarmful,
                                  aNow,
--- a/src/SchedulerPlacement.cpp
+++ b/src/SchedulerPlacement.cpp
@@ -47,6 +47,7 @@
   lease.mHolder = queued.mProxy;
   lease.mZone = queued.mZone;
   lease.mTarget = aTarget;
+  lease.mTargetListEnd = aState.mTargetListEnd;
   lease.mRequest = request.mRequest;
   lease.mRoute = request.mRoute;
   lease.mIsLong = request.mIsLong;
@@ -57,9 +58,12 @@
   lease.mGrantedAt = aNow;
   lease.mExpiresAt = queued.mDeadlineAt + kLeaseExpiryMargin;
   aState.mLeaseByRequest[{ lease.mHolder, lease.mRequest }] = id;
-  aEffects.push_back(SendToPeer{
-    lease.mHolder,
-    LeaseGrant{ lease.mRequest, id, aTarget, queued.mDeadlineAt - aNow } });
+  aEffects.push_back(SendToPeer{ lease.mHolder,
+                                 LeaseGrant{ lease.mRequest,
+                                             id,
+                                             aTarget,
+                                             queued.mDeadlineAt - aNow,
+                                             lease.mTargetListEnd } });
   aState.mLeases.emplace(id, std::move(lease));
   ++aState.mCounters.mGrants;
   if (!request.mIsRetry) {
