Order the entries of a target by their writer and not by the store

Entries now carry their order: the start of the writer and its sequence. A lower sequence of the same start never replaces a higher one, also after a removal and in copies of peers. An entry of an earlier start needs a second one, since the writer's clock may have been set back.

--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -34,6 +34,7 @@
   { kEventCheckpointWritten, "CheckpointWritten" },
   { kEventDocumentRead, "DocumentRead" },
   { kEventRecordSkipped, "RecordSkipped" },
+  { kEventOutdatedEntries, "OutdatedEntries" },
   { kEventSchedulerStarted, "SchedulerStarted" },
   { kEventSchedulerEnded, "SchedulerEnded" },
   { kEventFallbackEntered, "FallbackEntered" },
--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -27,6 +27,10 @@
  * have been unavailable. The threshold is below the time after which entries
  * expire at the earliest, which is some seconds. */
 constexpr Duration kOutageThreshold = milliseconds(1500);
+/** How long the order of a removed entry is kept: the store executes writes
+ * that it did not answer up to some seconds late. */
+constexpr Duration kRemovedOrderRetention = milliseconds(30000);
+constexpr Duration kForgetInterval = milliseconds(1000);
 /** In a zone with more nodes, pushes are sent along a tree. */
 constexpr std::size_t kMaxDirectPushes = 16;
 /** The nodes without a rank of their own replace the reader after different
@@ -99,17 +103,87 @@
   return isReader || age >= aState.mSettings.mStaleAfter + takeoverDelay;
 }
 
+/** Where an entry comes from. */
+enum class EntrySource
+{
+  Store,
+  Peer
+};
+
 /** Removes an entry at once. */
 void
-RemoveEntry(KeyedFeedState& aState, const std::string& aKey)
+RemoveEntry(KeyedFeedState& aState, TimePoint aNow, const std::string& aKey)
 {
-  if (aState.mEntries.erase(aKey) > 0) {
+  auto it = aState.mEntries.find(aKey);
+  if (it != aState.mEntries.end()) {
+    if (it->second.mOrder.mEpoch != 0) {
+      aState.mRemovedOrders[aKey] = { it->second.mOrder,
+                                      aNow + kRemovedOrderRetention };
+    }
+    aState.mEntries.erase(it);
     ++aState.mVersion;
     aState.mChangedKeys.push_back(aKey);
   }
   aState.mPendingRemovals.erase(aKey);
 }
 
+/** Forgets the orders of entries that were removed long ago. */
+void
+ForgetRemovedOrders(KeyedFeedState& aState, TimePoint aNow)
+{
+  if (aNow < aState.mNextForgetAt) {
+    return;
+  }
+  aState.mNextForgetAt = aNow + kForgetInterval;
+  for (auto it = aState.mRemovedOrders.begin();
+       it != aState.mRemovedOrders.end();) {
+    it = aNow >= it->second.mForgetAt ? aState.mRemovedOrders.erase(it)
+                                      : std::next(it);
+  }
+  for (auto it = aState.mLowerEpochs.begin();
+       it != aState.mLowerEpochs.end();) {
+    bool isKnown = aState.mEntries.count(it->first) > 0 ||
+                   aState.mRemovedOrders.count(it->first) > 0;
+    it = isKnown ? std::next(it) : aState.mLowerEpochs.erase(it);
+  }
+}
+
+/** Returns the order of the last known entry of a key, or none. */
+EntryOrder
+KnownOrder(const KeyedFeedState& aState, const std::string& aKey)
+{
+  auto it = aState.mEntries.find(aKey);
+  if (it != aState.mEntries.end()) {
+    return it->second.mOrder;
+  }
+  auto removed = aState.mRemovedOrders.find(aKey);
+  return removed == aState.mRemovedOrders.end() ? EntryOrder{}
+                                                : removed->second.mOrder;
+}
+
+/** Returns whether the writer of an entry that was read from the store has
+ * written a later one. A single entry of a lower epoch is a write that the
+ * store executed late; a second, later one shows that the writer has started
+ * again with its clock set back. */
+bool
+IsOutdated(KeyedFeedState& aState,
+           const EntryOrder& aKnown,
+           const FeedEntry& aEntry)
+{
+  const EntryOrder& order = aEntry.mOrder;
+  if (order.mEpoch == 0 || aKnown.mEpoch == 0 || order.mEpoch > aKnown.mEpoch) {
+    return false;
+  }
+  if (order.mEpoch == aKnown.mEpoch) {
+    return order.mSequence < aKnown.mSequence;
+  }
+  EntryOrder& lower = aState.mLowerEpochs[aEntry.mKey];
+  bool isSecond =
+    lower.mEpoch == order.mEpoch && order.mSequence > lower.mSequence;
+  lower = order;
+  return !isSecond;
+}
+
 /** Removes an entry, or defers the removal to the end of the grace period after
  * an outage: the entry may have expired only because its owner could not reach
  * the store. */
@@ -121,17 +195,35 @@
   if (isAfterOutage && aState.mEntries.count(aKey) > 0) {
     aState.mPendingRemovals.emplace(aKey, until);
   } else {
-    RemoveEntry(aState, aKey);
+    RemoveEntry(aState, aNow, aKey);
   }
 }
 
 /** Applies one entry, unless the copy has one that is as new. Returns whether
  * the entry changes the copy. */
 bool
-ApplyEntry(KeyedFeedState& aState, TimePoint aNow, const FeedEntry& aEntry)
+ApplyEntry(KeyedFeedState& aState,
+           TimePoint aNow,
+           const FeedEntry& aEntry,
+           EntrySource aSource)
 {
   auto it = aState.mEntries.find(aEntry.mKey);
-  if (it != aState.mEntries.end() && it->second.mOffset >= aEntry.mOffset) {
+  EntryOrder known = KnownOrder(aState, aEntry.mKey);
+  bool isSameEpoch =
+    aEntry.mOrder.mEpoch != 0 && aEntry.mOrder.mEpoch == known.mEpoch;
+  bool isLater = isSameEpoch && aEntry.mOrder.mSequence > known.mSequence;
+  if (it != aState.mEntries.end() && it->second.mOffset >= aEntry.mOffset &&
+      !isLater) {
+    return false;
+  }
+  // A peer has skipped outdated entries itself, but may not have known as much.
+  bool isOutdated =
+    aSource == EntrySource::Store
+      ? IsOutdated(aState, known, aEntry)
+      : isSameEpoch && !isLater && aEntry.mOrder.mSequence < known.mSequence;
+  if (!aEntry.mValue.empty() && isOutdated) {
+    ++aState.mOutdatedEntries;
+    aState.mOutdatedKey = aEntry.mKey;
     return false;
   }
   if (aEntry.mValue.empty()) {
@@ -143,6 +235,8 @@
   bool isNew =
     it == aState.mEntries.end() || it->second.mValue != aEntry.mValue;
   aState.mEntries[aEntry.mKey] = aEntry;
+  aState.mRemovedOrders.erase(aEntry.mKey);
+  aState.mLowerEpochs.erase(aEntry.mKey);
   if (isNew) {
     ++aState.mVersion;
     aState.mChangedKeys.push_back(aEntry.mKey);
@@ -154,11 +248,12 @@
 std::vector<FeedEntry>
 ApplyEntries(KeyedFeedState& aState,
              TimePoint aNow,
-             const std::vector<FeedEntry>& aEntries)
+             const std::vector<FeedEntry>& aEntries,
+             EntrySource aSource)
 {
   std::vector<FeedEntry> changes;
   for (const FeedEntry& it : aEntries) {
-    if (ApplyEntry(aState, aNow, it)) {
+    if (ApplyEntry(aState, aNow, it, aSource)) {
       changes.push_back(it);
     }
   }
@@ -171,13 +266,15 @@
 ApplySnapshot(KeyedFeedState& aState,
               TimePoint aNow,
               LogOffset aEnd,
-              const std::vector<FeedEntry>& aEntries)
+              const std::vector<FeedEntry>& aEntries,
+              EntrySource aSource)
 {
   std::set<std::string> present;
   for (const FeedEntry& it : aEntries) {
     present.insert(it.mKey);
   }
-  std::vector<FeedEntry> changes = ApplyEntries(aState, aNow, aEntries);
+  std::vector<FeedEntry> changes =
+    ApplyEntries(aState, aNow, aEntries, aSource);
   std::vector<std::string> absent;
   for (const auto& [key, entry] : aState.mEntries) {
     if (present.count(key) == 0 && entry.mOffset < aEnd) {
@@ -207,7 +304,7 @@
 ApplyRead(KeyedFeedState& aState, TimePoint aNow, const FeedReadResult& aRead)
 {
   if (!aRead.mIsSnapshot) {
-    return ApplyEntries(aState, aNow, aRead.mEntries);
+    return ApplyEntries(aState, aNow, aRead.mEntries, EntrySource::Store);
   }
   bool isOldRevision = aState.mIsLoaded && aState.mSettings.mHasWholeRecords &&
                        aRead.mRevision <= aState.mRevision;
@@ -215,7 +312,8 @@
     return {};
   }
   aState.mRevision = aRead.mRevision;
-  return ApplySnapshot(aState, aNow, aRead.mEnd, aRead.mEntries);
+  return ApplySnapshot(
+    aState, aNow, aRead.mEnd, aRead.mEntries, EntrySource::Store);
 }
 
 /** Returns the latest time at which the store is known to have held what a read
@@ -369,8 +467,9 @@
     }
   }
   for (const std::string& it : expired) {
-    RemoveEntry(aState, it);
+    RemoveEntry(aState, aContext.mNow, it);
   }
+  ForgetRemovedOrders(aState, aContext.mNow);
   RequestCopyIfNotLoaded(aState, aContext);
   RequestChangesFromOtherZone(aState, aContext);
   if (IsReadDue(aState, aContext)) {
@@ -415,7 +514,16 @@
   LogOffset after = aState.mEnd;
   RecordFreshness(
     aState, aContext.mNow, ConfirmedAt(aState, aContext.mNow, aRead), NodeId());
+  std::uint64_t outdatedBefore = aState.mOutdatedEntries;
   std::vector<FeedEntry> changes = ApplyRead(aState, aContext.mNow, aRead);
+  if (aState.mOutdatedEntries > outdatedBefore) {
+    aContext.mEffects.push_back(WriteEvent{
+      kEventOutdatedEntries,
+      "topic=" + aState.mSettings.mTopic +
+        " entries=" + std::to_string(aState.mOutdatedEntries - outdatedBefore) +
+        " last_key=" + aState.mOutdatedKey +
+        " end=" + std::to_string(aRead.mEnd) });
+  }
   aState.mEnd = std::max(aState.mEnd, aRead.mEnd);
   bool wasLoaded = aState.mIsLoaded;
   aState.mIsLoaded = true;
@@ -464,7 +572,8 @@
     return;
   }
   RecordFreshness(aState, aContext.mNow, copy.mFreshAt, aFrom);
-  ApplySnapshot(aState, aContext.mNow, copy.mEnd, copy.mEntries);
+  ApplySnapshot(
+    aState, aContext.mNow, copy.mEnd, copy.mEntries, EntrySource::Peer);
   aState.mRecentDeltas.clear();
   aState.mEnd = copy.mEnd;
   aState.mRevision = copy.mRevision;
@@ -494,7 +603,7 @@
   }
   RecordFreshness(aState, aContext.mNow, aContext.mNow - aPush.mAge, aFrom);
   if (Connects(aState.mSettings.mHasWholeRecords, aPush.mAfter, aState.mEnd)) {
-    ApplyEntries(aState, aContext.mNow, aPush.mEntries);
+    ApplyEntries(aState, aContext.mNow, aPush.mEntries, EntrySource::Peer);
     AddDelta(aState, { aPush.mAfter, aPush.mEnd, aPush.mEntries });
   }
   aState.mEnd = aPush.mEnd;
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -370,6 +370,19 @@
   MSGPACK_DEFINE(mRequest, mState, mAnswer)
 };
 
+/** The place of an entry among those that its writer has written. The store may
+ * execute a write seconds after later ones of the same writer, so the offsets
+ * of the records do not tell which entry is the newer one. */
+struct EntryOrder
+{
+  /** Identifies one start of the writer, and is higher for a later one unless
+   * the writer's clock was set back; 0 if the entry has no order. */
+  std::uint64_t mEpoch = 0;
+  /** Higher for each later entry of the epoch. */
+  std::uint64_t mSequence = 0;
+  MSGPACK_DEFINE(mEpoch, mSequence)
+};
+
 /** The newest record of one key of a keyed topic. An empty value marks a
  * removed key. */
 struct FeedEntry
@@ -377,7 +390,8 @@
   std::string mKey;
   LogOffset mOffset = 0;
   std::string mValue;
-  MSGPACK_DEFINE(mKey, mOffset, mValue)
+  EntryOrder mOrder{};
+  MSGPACK_DEFINE(mKey, mOffset, mValue, mOrder)
 };
 
 /** Forwards entries that the sender has read from a keyed topic: those that
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -244,6 +244,12 @@
              "Reads of a topic of the platform's store",
              static_cast<double>(aFeed.mReads),
              labels);
+  AddCounter(aRegistry,
+             "vanillascale_feed_outdated_entries_total",
+             "Records skipped because the store executed their writes after "
+             "later ones of the same writer",
+             static_cast<double>(aFeed.mOutdatedEntries),
+             labels);
   AddGauge(aRegistry,
            "vanillascale_feed_entries",
            "Entries of the local copy of a topic of the platform's store",
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -275,3 +275,65 @@
   node.Read(readAt + wait + milliseconds(5), DeltaRead(2, {}));
   CHECK(node.mFeed.mFreshAt == readAt + wait);
 }
+
+/** Guards against writes that the store executes seconds late, after later ones
+ * of the same writer: a leaving target comes into use again. */
+TEST_GROUP(LateWrites){};
+
+TEST(LateWrites, DoNotReplaceLaterEntriesOfTheirWriter)
+{
+  FeedNode node;
+  node.Read(kStart, FullRead(1, { { "a", 0, "ready", { 90, 5 } } }));
+  node.Read(kStart, DeltaRead(2, { { "a", 1, "draining", { 90, 7 } } }));
+  node.Read(kStart, DeltaRead(3, { { "a", 2, "ready", { 90, 6 } } }));
+  STRCMP_EQUAL("draining", node.mFeed.mEntries["a"].mValue.c_str());
+  LONGS_EQUAL(1, node.mFeed.mOutdatedEntries);
+  node.Read(kStart, FullRead(3, { { "a", 2, "ready", { 90, 6 } } }));
+  STRCMP_EQUAL("draining", node.mFeed.mEntries["a"].mValue.c_str());
+  node.Read(kStart, DeltaRead(4, { { "a", 3, "draining", { 90, 8 } } }));
+  LONGS_EQUAL(3, node.mFeed.mEntries["a"].mOffset);
+}
+
+TEST(LateWrites, AreReplacedByWhatAPeerKnows)
+{
+  FeedNode node;
+  // It has read the late write only; its peer has read both.
+  node.Read(kStart, FullRead(3, { { "a", 2, "ready", { 90, 6 } } }));
+  FeedPush push{ "targets", 2, 3, false, Duration(0), {} };
+  push.mEntries = { { "a", 1, "draining", { 90, 7 } } };
+  node.Push(kStart, push);
+  STRCMP_EQUAL("draining", node.mFeed.mEntries["a"].mValue.c_str());
+}
+
+TEST(LateWrites, DoNotRestoreRemovedEntries)
+{
+  FeedNode node;
+  node.Read(kStart, FullRead(1, { { "a", 0, "ready", { 90, 5 } } }));
+  node.Read(kStart, DeltaRead(2, { { "a", 1, "" } }));
+  node.Read(kStart, DeltaRead(3, { { "a", 2, "ready", { 90, 4 } } }));
+  LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
+  // The writer lives: its entry had expired while the store was away.
+  node.Read(kStart, DeltaRead(4, { { "a", 3, "ready", { 90, 6 } } }));
+  LONGS_EQUAL(1, node.mFeed.mEntries.count("a"));
+  node.Read(kStart, DeltaRead(5, { { "a", 4, "" } }));
+  node.Tick(kStart + seconds(40));
+  LONGS_EQUAL(0, node.mFeed.mRemovedOrders.size());
+}
+
+TEST(LateWrites, OfAnEarlierStartDoNotReplaceThoseOfALaterOne)
+{
+  FeedNode node;
+  node.Read(kStart, FullRead(1, { { "a", 0, "old", { 90, 5 } } }));
+  node.Read(kStart, DeltaRead(2, { { "a", 1, "new", { 95, 1 } } }));
+  node.Read(kStart, DeltaRead(3, { { "a", 2, "old", { 90, 6 } } }));
+  STRCMP_EQUAL("new", node.mFeed.mEntries["a"].mValue.c_str());
+}
+
+TEST(LateWrites, AreNotTakenForThoseOfAWriterWhoseClockWasSetBack)
+{
+  FeedNode node;
+  node.Read(kStart, FullRead(1, { { "a", 0, "old", { 90, 5 } } }));
+  node.Read(kStart, DeltaRead(2, { { "a", 1, "new", { 80, 1 } } }));
+  node.Read(kStart, DeltaRead(3, { { "a", 2, "new", { 80, 2 } } }));
+  STRCMP_EQUAL("new", node.mFeed.mEntries["a"].mValue.c_str());
+}
--- a/test/correctness/StoreIsTranslated.cpp
+++ b/test/correctness/StoreIsTranslated.cpp
@@ -132,15 +132,29 @@
 
 TEST(Store, WorkersAreTranslatedToVms)
 {
-  auto vm = TranslateWorker("i-7f", kWorker);
-  CHECK(vm.has_value());
-  STRCMP_EQUAL("i-7f@10.128.0.9:8080", vm->mAddress.c_str());
-  LONGS_EQUAL(3, vm->mSlots);
-  CHECK(!vm->mIsLeaving);
-  CHECK(vm->mWarmupLeft == milliseconds(500));
+  auto worker = TranslateWorker("i-7f", kWorker);
+  CHECK(worker.has_value());
+  const Vm& vm = worker->mVm;
+  STRCMP_EQUAL("i-7f@10.128.0.9:8080", vm.mAddress.c_str());
+  LONGS_EQUAL(3, vm.mSlots);
+  CHECK(!vm.mIsLeaving);
+  CHECK(vm.mWarmupLeft == milliseconds(500));
   auto leaving =
     TranslateWorker("i-7f", ReplaceFirst(kWorker, "ready", "draining"));
-  CHECK(leaving->mIsLeaving);
+  CHECK(leaving->mVm.mIsLeaving);
+}
+
+/** Guards against entries of a worker that cannot be put in order, and against
+ * an order of entries of different starts by their sequence alone. */
+TEST(Store, WorkerEntriesAreOrderedWithinAStart)
+{
+  std::string text =
+    ReplaceFirst(kWorker, "\"capacity\":3", "\"capacity\":3,\"born\":90");
+  auto worker = TranslateWorker("i-7f", text);
+  LONGS_EQUAL(90, worker->mOrder.mEpoch);
+  LONGS_EQUAL(4, worker->mOrder.mSequence);
+  text = ReplaceFirst(text, "\"born\":90", "\"born\":\"90\"");
+  LONGS_EQUAL(0, TranslateWorker("i-7f", text)->mOrder.mEpoch);
 }
 
 TEST(Store, InvalidWorkerEntriesAreRejected)
