--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -330,7 +330,8 @@
 }
 
 /** Records that aSource has confirmed that the copy matched the store at
- * aFreshAt, and detects the end of an outage. An empty aSource is the store. */
+ * aFreshAt, and detects the end of an outage. The first copy of a node that has
+ * just started may be older than the node. An empty aSource is the store. */
 void
 RecordFreshness(KeyedFeedState& aState,
                 TimePoint aNow,
@@ -343,7 +344,9 @@
   if (hadOutage) {
     aState.mOutageEndedAt = aNow;
   }
-  aState.mFreshAt = std::max(aState.mFreshAt, aFreshAt);
+  // Before the first copy mFreshAt is the time of the start.
+  aState.mFreshAt =
+    aState.mIsLoaded ? std::max(aState.mFreshAt, aFreshAt) : aFreshAt;
 }
 
 /** Returns a push of this node's copy without entries. */
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -276,6 +276,26 @@
   CHECK(node.mFeed.mFreshAt == readAt + wait);
 }
 
+/** Guards against an old copy that is taken for a current one because the node
+ * that loaded it has just started. Other nodes trust the age that it states,
+ * and a change that they all miss is not in force in time. */
+TEST(KeyedFeeds, AreAsOldAsTheFirstCopyThatWasLoaded)
+{
+  FeedNode node;
+  FeedPush copy{ "targets", 0, 2, true, seconds(10), { { "a", 0, "A" } } };
+  TimePoint now = kStart + milliseconds(50);
+  node.Push(now, copy);
+  CHECK(node.mFeed.mIsLoaded);
+  CHECK(node.mFeed.mFreshAt == now - seconds(10));
+  Effects effects;
+  FeedReceive(node.mFeed,
+              { now, node.mMembers, node.mRandom, effects },
+              NodeId("10.0.0.2:1"),
+              FeedPull{ "targets", 0, true, "" });
+  const auto& reply = std::get<SendToPeer>(effects.front());
+  CHECK(std::get<FeedPush>(reply.mMessage).mAge == seconds(10));
+}
+
 /** Guards against writes that the store executes seconds late, after later ones
  * of the same writer: a leaving target comes into use again. */
 TEST_GROUP(LateWrites){};
