--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -27,10 +27,6 @@
  * have been unavailable. The threshold is below the time after which entries
  * expire at the earliest, which is some seconds. */
 constexpr Duration kOutageThreshold = milliseconds(1500);
-/** How long the order of a removed entry is kept: the store executes writes
- * that it did not answer up to some seconds late. */
-constexpr Duration kRemovedOrderRetention = milliseconds(30000);
-constexpr Duration kForgetInterval = milliseconds(1000);
 /** In a zone with more nodes, pushes are sent along a tree. */
 constexpr std::size_t kMaxDirectPushes = 16;
 /** The nodes without a rank of their own replace the reader after different
@@ -103,23 +99,13 @@
   return isReader || age >= aState.mSettings.mStaleAfter + takeoverDelay;
 }
 
-/** Where an entry comes from. */
-enum class EntrySource
-{
-  Store,
-  Peer
-};
-
 /** Removes an entry at once. */
 void
 RemoveEntry(KeyedFeedState& aState, TimePoint aNow, const std::string& aKey)
 {
   auto it = aState.mEntries.find(aKey);
   if (it != aState.mEntries.end()) {
-    if (it->second.mOrder.mEpoch != 0) {
-      aState.mRemovedOrders[aKey] = { it->second.mOrder,
-                                      aNow + kRemovedOrderRetention };
-    }
+    RecordRemoval(aState.mOrders, aNow, it->second);
     aState.mEntries.erase(it);
     ++aState.mVersion;
     aState.mChangedKeys.push_back(aKey);
@@ -127,63 +113,6 @@
   aState.mPendingRemovals.erase(aKey);
 }
 
-/** Forgets the orders of entries that were removed long ago. */
-void
-ForgetRemovedOrders(KeyedFeedState& aState, TimePoint aNow)
-{
-  if (aNow < aState.mNextForgetAt) {
-    return;
-  }
-  aState.mNextForgetAt = aNow + kForgetInterval;
-  for (auto it = aState.mRemovedOrders.begin();
-       it != aState.mRemovedOrders.end();) {
-    it = aNow >= it->second.mForgetAt ? aState.mRemovedOrders.erase(it)
-                                      : std::next(it);
-  }
-  for (auto it = aState.mLowerEpochs.begin();
-       it != aState.mLowerEpochs.end();) {
-    bool isKnown = aState.mEntries.count(it->first) > 0 ||
-                   aState.mRemovedOrders.count(it->first) > 0;
-    it = isKnown ? std::next(it) : aState.mLowerEpochs.erase(it);
-  }
-}
-
-/** Returns the order of the last known entry of a key, or none. */
-EntryOrder
-KnownOrder(const KeyedFeedState& aState, const std::string& aKey)
-{
-  auto it = aState.mEntries.find(aKey);
-  if (it != aState.mEntries.end()) {
-    return it->second.mOrder;
-  }
-  auto removed = aState.mRemovedOrders.find(aKey);
-  return removed == aState.mRemovedOrders.end() ? EntryOrder{}
-                                                : removed->second.mOrder;
-}
-
-/** Returns whether the writer of an entry that was read from the store has
- * written a later one. A single entry of a lower epoch is a write that the
- * store executed late; a second, later one shows that the writer has started
- * again with its clock set back. */
-bool
-IsOutdated(KeyedFeedState& aState,
-           const EntryOrder& aKnown,
-           const FeedEntry& aEntry)
-{
-  const EntryOrder& order = aEntry.mOrder;
-  if (order.mEpoch == 0 || aKnown.mEpoch == 0 || order.mEpoch > aKnown.mEpoch) {
-    return false;
-  }
-  if (order.mEpoch == aKnown.mEpoch) {
-    return order.mSequence < aKnown.mSequence;
-  }
-  EntryOrder& lower = aState.mLowerEpochs[aEntry.mKey];
-  bool isSecond =
-    lower.mEpoch == order.mEpoch && order.mSequence > lower.mSequence;
-  lower = order;
-  return !isSecond;
-}
-
 /** Removes an entry, or defers the removal to the end of the grace period after
  * an outage: the entry may have expired only because its owner could not reach
  * the store. */
@@ -208,20 +137,15 @@
            EntrySource aSource)
 {
   auto it = aState.mEntries.find(aEntry.mKey);
-  EntryOrder known = KnownOrder(aState, aEntry.mKey);
-  bool isSameEpoch =
-    aEntry.mOrder.mEpoch != 0 && aEntry.mOrder.mEpoch == known.mEpoch;
-  bool isLater = isSameEpoch && aEntry.mOrder.mSequence > known.mSequence;
+  EntryOrder known = it != aState.mEntries.end()
+                       ? it->second.mOrder
+                       : FindRemovedOrder(aState.mOrders, aEntry.mKey);
   if (it != aState.mEntries.end() && it->second.mOffset >= aEntry.mOffset &&
-      !isLater) {
+      !IsLater(known, aEntry.mOrder)) {
     return false;
   }
-  // A peer has skipped outdated entries itself, but may not have known as much.
-  bool isOutdated =
-    aSource == EntrySource::Store
-      ? IsOutdated(aState, known, aEntry)
-      : isSameEpoch && !isLater && aEntry.mOrder.mSequence < known.mSequence;
-  if (!aEntry.mValue.empty() && isOutdated) {
+  if (!aEntry.mValue.empty() &&
+      IsOutdated(aState.mOrders, aNow, known, aEntry, aSource)) {
     ++aState.mOutdatedEntries;
     aState.mOutdatedKey = aEntry.mKey;
     return false;
@@ -235,8 +159,7 @@
   bool isNew =
     it == aState.mEntries.end() || it->second.mValue != aEntry.mValue;
   aState.mEntries[aEntry.mKey] = aEntry;
-  aState.mRemovedOrders.erase(aEntry.mKey);
-  aState.mLowerEpochs.erase(aEntry.mKey);
+  RecordApplied(aState.mOrders, aEntry.mKey);
   if (isNew) {
     ++aState.mVersion;
     aState.mChangedKeys.push_back(aEntry.mKey);
@@ -472,7 +395,7 @@
   for (const std::string& it : expired) {
     RemoveEntry(aState, aContext.mNow, it);
   }
-  ForgetRemovedOrders(aState, aContext.mNow);
+  ForgetOldOrders(aState.mOrders, aContext.mNow);
   RequestCopyIfNotLoaded(aState, aContext);
   RequestChangesFromOtherZone(aState, aContext);
   if (IsReadDue(aState, aContext)) {
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -2,6 +2,7 @@
 #define VANILLASCALE_KEYEDFEED_H
 
 #include "Effects.h"
+#include "EntryOrders.h"
 #include "FeedCopy.h"
 #include "FeedDeltas.h"
 #include "Membership.h"
@@ -43,13 +44,6 @@
   bool mHasWholeRecords = false;
 };
 
-/** The order of the last entry of a key that was removed. */
-struct RemovedOrder
-{
-  EntryOrder mOrder;
-  TimePoint mForgetAt{};
-};
-
 /** A node's copy of a keyed topic of the platform's store.
  *
  * One node of each zone reads the store, with a delay between reads that bounds
@@ -105,13 +99,8 @@
   /** Keys whose removal is deferred because of an outage, with the time at
    * which they are removed. */
   std::map<std::string, TimePoint> mPendingRemovals;
-  /** By key: entries that the store executes after a removal, although they
-   * were written before it, must not put the key in use again. */
-  std::map<std::string, RemovedOrder> mRemovedOrders;
-  TimePoint mNextForgetAt{};
-  /** By key: the order of the last entry that was skipped because its epoch is
-   * lower than the known one. */
-  std::map<std::string, EntryOrder> mLowerEpochs;
+  /** What is known of the order of entries beside the entries themselves. */
+  EntryOrders mOrders;
   /** The number of entries that were skipped because their writer had written a
    * later one, and the key of the last of them. */
   std::uint64_t mOutdatedEntries = 0;
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -337,7 +337,7 @@
   LONGS_EQUAL(1, node.mFeed.mEntries.count("a"));
   node.Read(kStart, DeltaRead(5, { { "a", 4, "" } }));
   node.Tick(kStart + seconds(40));
-  LONGS_EQUAL(0, node.mFeed.mRemovedOrders.size());
+  LONGS_EQUAL(0, node.mFeed.mOrders.mRemoved.size());
 }
 
 TEST(LateWrites, OfAnEarlierStartDoNotReplaceThoseOfALaterOne)
