--- a/src/EntryOrders.cpp
+++ b/src/EntryOrders.cpp
@@ -44,7 +44,7 @@
   if (aSource == EntrySource::Peer) {
     return false;
   }
-  EntryOrders::Remembered& lower = aOrders.mLower[aEntry.mKey];
+  EntryOrders::Remembered& lower = aOrders.mLowerEpochs[aEntry.mKey];
   bool isSecond = IsLater(lower.mOrder, order);
   lower = { order, aNow + kOrderRetention };
   return !isSecond;
@@ -69,7 +69,7 @@
 RecordApplied(EntryOrders& aOrders, const std::string& aKey)
 {
   aOrders.mRemoved.erase(aKey);
-  aOrders.mLower.erase(aKey);
+  aOrders.mLowerEpochs.erase(aKey);
 }
 
 void
@@ -80,7 +80,7 @@
   }
   aOrders.mNextForgetAt = aNow + kForgetInterval;
   EraseExpired(aOrders.mRemoved, aNow);
-  EraseExpired(aOrders.mLower, aNow);
+  EraseExpired(aOrders.mLowerEpochs, aNow);
 }
 
 } // namespace vanillascale
--- a/src/EntryOrders.h
+++ b/src/EntryOrders.h
@@ -33,7 +33,7 @@
   std::map<std::string, Remembered> mRemoved;
   /** By key: the order of the last entry that was skipped because its epoch is
    * lower than the known one. */
-  std::map<std::string, Remembered> mLower;
+  std::map<std::string, Remembered> mLowerEpochs;
   TimePoint mNextForgetAt{};
 };
 
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -117,8 +117,8 @@
   LeaseId mLease = 0;
   TargetId mTarget;
   Duration mSendWithin{ 0 };
-  /** The end of the target list that the target was chosen from; 0 if the
-   * platform's lists have no offsets. */
+  /** The end of the scheduler's target list at the grant; 0 if the platform's
+   * lists have no offsets. */
   LogOffset mTargetListEnd = 0;
   MSGPACK_DEFINE(mRequest, mLease, mTarget, mSendWithin, mTargetListEnd)
 };
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -309,7 +309,7 @@
 
 /** Returns whether the target of a grant is leaving or gone by this node's
  * target list. A target that is missing from the list may be a new one, unless
- * the list is at least as new as the one that the scheduler chose it from. */
+ * the list is at least as new as the scheduler's at the grant. */
 bool
 IsLeavingOrGone(const ProxyContext& aContext,
                 const LocalBalancer& aTargets,
@@ -428,16 +428,16 @@
   const LocalBalancer& targets =
     aState.mSchedulerLinks.at(aRequest.mService).mLocalChoice;
   bool hasStated = DeclinesRequests(targets, aContext.mNow, aGrant.mTarget);
-  bool isUnlisted = IsLeavingOrGone(aContext, targets, aGrant);
-  if (!hasStated && !isUnlisted) {
+  bool isLeavingOrGone = IsLeavingOrGone(aContext, targets, aGrant);
+  if (!hasStated && !isLeavingOrGone) {
     return false;
   }
-  LogDeclinedGrant(aContext, aRequest, aScheduler, aGrant, isUnlisted);
+  LogDeclinedGrant(aContext, aRequest, aScheduler, aGrant, isLeavingOrGone);
   LeaseReport report;
   report.mService = aRequest.mService;
   report.mLease = aGrant.mLease;
   report.mOutcome = TargetOutcome::Unused;
-  if (isUnlisted) {
+  if (isLeavingOrGone) {
     report.mDeclinedAtListEnd = aContext.mTargetListEnd;
   }
   for (const StatedTarget& it : StatementsOf(targets, aContext.mNow)) {
--- a/src/ProxyLog.cpp
+++ b/src/ProxyLog.cpp
@@ -119,13 +119,13 @@
                  const ProxyRequest& aRequest,
                  const NodeId& aScheduler,
                  const LeaseGrant& aGrant,
-                 bool aIsUnlisted)
+                 bool aIsLeavingOrGone)
 {
   aContext.mEffects.push_back(WriteEvent{
     kEventGrantDeclined,
     FormatRequestFields(aContext, aRequest) +
       " target=" + aGrant.mTarget.mValue + " scheduler=" + aScheduler.mValue +
-      " reason=" + (aIsUnlisted ? "listed" : "stated") +
+      " reason=" + (aIsLeavingOrGone ? "listed" : "stated") +
       " list_end=" + std::to_string(aContext.mTargetListEnd) +
       " scheduler_list_end=" + std::to_string(aGrant.mTargetListEnd) });
 }
--- a/src/ProxyLog.h
+++ b/src/ProxyLog.h
@@ -21,14 +21,14 @@
               TargetOutcome aOutcome);
 
 /** Logs a grant that is returned because of what this node knows of its target,
- * with the ends of both target lists. aIsUnlisted: by its target list, and not
- * by the target's own statement. */
+ * with the ends of both target lists. aIsLeavingOrGone: by its target list, and
+ * not by the target's own statement. */
 void
 LogDeclinedGrant(const ProxyContext& aContext,
                  const ProxyRequest& aRequest,
                  const NodeId& aScheduler,
                  const LeaseGrant& aGrant,
-                 bool aIsUnlisted);
+                 bool aIsLeavingOrGone);
 
 /** Logs a request that was rejected on arrival, before any state was made for
  * it. */
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -27,7 +27,7 @@
   TargetId mTarget;
   RequestId mRequest = 0;
   std::uint32_t mRoute = 0;
-  /** The end of the target list that the target was chosen from. */
+  /** The end of the target list at the grant. */
   LogOffset mTargetListEnd = 0;
   bool mIsLong = false;
   bool mIsIdempotent = true;
--- a/src/SchedulerEvidence.cpp
+++ b/src/SchedulerEvidence.cpp
@@ -46,7 +46,7 @@
 /** How long a target is not granted after a proxy with a newer target list has
  * declined it: to all, until this scheduler has most likely read the newer list
  * itself, or is told again. */
-constexpr Duration kUnlistedExclusionTime = seconds(2);
+constexpr Duration kDeclinedExclusionTime = seconds(2);
 /** The same for the proxy alone, if its list is older: it receives the newer
  * one with the next push. */
 constexpr Duration kStaleListPause = std::chrono::milliseconds(500);
@@ -196,7 +196,7 @@
   PooledTarget& target = it->second;
   if (aHolderListEnd >= aState.mTargetListEnd) {
     target.mDrainingUntil =
-      std::max(target.mDrainingUntil, aNow + kUnlistedExclusionTime);
+      std::max(target.mDrainingUntil, aNow + kDeclinedExclusionTime);
   } else {
     TimePoint& until = target.mPausedFor[aLease.mHolder];
     until = std::max(until, aNow + kStaleListPause);
--- a/test/correctness/LargeConfigurationsPropagate.cpp
+++ b/test/correctness/LargeConfigurationsPropagate.cpp
@@ -20,17 +20,11 @@
 Document
 MakeLargeDocument()
 {
-  Document document;
-  document.mEnvironment = "test";
-  document.mRevision = 1;
-  Service service;
-  service.mName = ServiceName("ledger");
-  service.mVmGroup = "ledger";
-  document.mServices[service.mName] = service;
+  Document document = MakeServiceDocument("ledger");
   for (std::size_t i = 0; i < kRoutes; ++i) {
     Route route;
     route.mName = RouteName("r-" + std::to_string(i));
-    route.mService = service.mName;
+    route.mService = ServiceName("ledger");
     route.mHost = "ficu.example";
     route.mPath = "/route" + std::to_string(i) + "/";
     route.mDeadline = milliseconds(800);
--- a/test/correctness/StaleSchedulersAreOverruled.cpp
+++ b/test/correctness/StaleSchedulersAreOverruled.cpp
@@ -17,16 +17,10 @@
 Document
 MakeDocument()
 {
-  Document document;
-  document.mEnvironment = "test";
-  document.mRevision = 1;
-  Service service;
-  service.mName = ServiceName("billing");
-  service.mVmGroup = "billing";
-  document.mServices[service.mName] = service;
+  Document document = MakeServiceDocument("billing");
   Route route;
   route.mName = RouteName("invoices");
-  route.mService = service.mName;
+  route.mService = ServiceName("billing");
   route.mPath = "/invoices/";
   route.mIdempotent = false;
   route.mAtMostOnceScope = AtMostOnceScope::PerRequest;
--- a/test/support/FleetHelpers.h
+++ b/test/support/FleetHelpers.h
@@ -51,6 +51,20 @@
   return change;
 }
 
+/** Returns a document with one service, whose VM group has the same name. */
+inline Document
+MakeServiceDocument(const std::string& aService)
+{
+  Document document;
+  document.mEnvironment = "test";
+  document.mRevision = 1;
+  Service service;
+  service.mName = ServiceName(aService);
+  service.mVmGroup = aService;
+  document.mServices[service.mName] = service;
+  return document;
+}
+
 /** Appends a change with the given document to the configuration stream of a
  * fleet. */
 inline void
