Refuse answers whose status is none of the protocol

Cause: Beast takes any three digits for a status, and nothing behind it looked at the figure. Requests, calls to the store, the command line and the load tool share the parser, so it could happen to each of them.

Evidence: a stand-in that sends them. Before, 000, 001, 042 and 099 were answers, 600 and 999 server errors with the target's signature, and an interim answer of status 000 was the final one, or held the request until its deadline. Through the real daemon curl saw 000 in place of a status.

Change: the parser stops behind a head, and one whose status is outside 100 to 599 is malformed, interim answers included. The exchange ends at once as broken and the caller gets 502 with the outcome "unknown". Statuses from 200 to 599 pass as before.

--- a/src/HttpParser.cpp
+++ b/src/HttpParser.cpp
@@ -12,6 +12,10 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+/** The status codes that HTTP defines, RFC 9110 section 15. */
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kLastStatus = 599;
+
 HttpProgress
 ProgressOf(const error_code& aError)
 {
@@ -27,13 +31,17 @@
   return HttpProgress::Malformed;
 }
 
-/** Feeds a Beast parser as long as it consumes anything. */
-template<typename Parser>
+/** Feeds a Beast parser as long as it consumes anything, or until aIsReached
+ * returns true. */
+template<typename Parser, typename Predicate>
 std::size_t
-FeedParser(Parser& aParser, std::string_view aBytes, HttpProgress& aProgress)
+FeedUntil(Parser& aParser,
+          std::string_view aBytes,
+          HttpProgress& aProgress,
+          const Predicate& aIsReached)
 {
   std::size_t total = 0;
-  while (!aParser.is_done()) {
+  while (!aIsReached()) {
     error_code ec;
     std::size_t n = aParser.put(
       boost::asio::buffer(aBytes.data() + total, aBytes.size() - total), ec);
@@ -50,6 +58,14 @@
   return total;
 }
 
+template<typename Parser>
+std::size_t
+FeedParser(Parser& aParser, std::string_view aBytes, HttpProgress& aProgress)
+{
+  return FeedUntil(
+    aParser, aBytes, aProgress, [&] { return aParser.is_done(); });
+}
+
 template<typename Fields>
 std::vector<Header>
 HeadersOf(const Fields& aFields)
@@ -141,13 +157,39 @@
   void Begin()
   {
     mParser.emplace();
-    mParser->eager(true);
+    // Stops behind the head, which is checked before the body is read.
+    mParser->eager(false);
     mParser->header_limit(static_cast<std::uint32_t>(mLimits.mHeadBytes));
     mParser->body_limit(mLimits.mBodyBytes);
     mParser->skip(mIsToHead);
     mProgress = HttpProgress::Incomplete;
   }
 
+  std::size_t Feed(std::string_view aBytes)
+  {
+    std::size_t total = 0;
+    if (!mParser->is_header_done()) {
+      total = FeedUntil(
+        *mParser, aBytes, mProgress, [&] { return mParser->is_header_done(); });
+      bool isDone = mParser->is_header_done();
+      if (isDone && !IsHeadAcceptable()) {
+        mProgress = HttpProgress::Malformed;
+      }
+    }
+    if (mProgress == HttpProgress::Incomplete && mParser->is_header_done()) {
+      total += FeedParser(*mParser, aBytes.substr(total), mProgress);
+    }
+    return total;
+  }
+
+  /** Whether a complete head is one that the protocol allows, as far as Beast
+   * does not check it. */
+  bool IsHeadAcceptable() const
+  {
+    unsigned status = mParser->get().result_int();
+    return status >= kFirstStatus && status <= kLastStatus;
+  }
+
   bool IsInterim() const
   {
     return mProgress == HttpProgress::Complete &&
@@ -176,11 +218,10 @@
 std::size_t
 ResponseParser::Feed(std::string_view aBytes)
 {
-  std::size_t total = FeedParser(*mImpl->mParser, aBytes, mImpl->mProgress);
+  std::size_t total = mImpl->Feed(aBytes);
   while (mImpl->IsInterim()) {
     mImpl->Begin();
-    total +=
-      FeedParser(*mImpl->mParser, aBytes.substr(total), mImpl->mProgress);
+    total += mImpl->Feed(aBytes.substr(total));
   }
   return total;
 }
--- a/standins/TargetStandin.cpp
+++ b/standins/TargetStandin.cpp
@@ -39,7 +39,8 @@
   unsigned mColdMs = 0;
 };
 
-/** The target's faults, switched by POST /faults?NAME=VALUE. */
+/** The target's faults, switched by POST /faults?NAME=VALUE. The bytes given as
+ * "answer" take the place of its answers. */
 struct Faults
 {
   /** So many in 100 requests end in a server error. */
@@ -138,6 +139,10 @@
         *value = std::atoi(params.param(name).c_str());
       }
     }
+    if (params.has("answer")) {
+      std::lock_guard<std::mutex> lock(mMutex);
+      mRawAnswer = params.param("answer");
+    }
     return { 200, "ok\n", {} };
   }
 
@@ -231,6 +236,7 @@
     bool isFailing = IsFailing();
     bool isCut =
       static_cast<int>(RandomBelow(mRandom, 100)) < mFaults.mCutPercent;
+    std::string rawAnswer = mRawAnswer;
     auto end = SteadyClock::now() + DrawTime(isLong);
     mChanged.wait_until(lock, end, [&] { return mCancelled.count(name) > 0; });
     bool isCancelled = mCancelled.erase(name) > 0;
@@ -243,9 +249,20 @@
     if (isFailing) {
       return { kStatusError, "failed\n", {} };
     }
+    if (!rawAnswer.empty()) {
+      SendAndClose(aCall, rawAnswer);
+    }
     return Answer(aCall, isCut);
   }
 
+  /** Sends bytes and ends the connection: the reply that the server writes
+   * behind them is not sent. */
+  static void SendAndClose(const StandinCall& aCall, const std::string& aBytes)
+  {
+    ::send(aCall.mSocket, aBytes.data(), aBytes.size(), MSG_NOSIGNAL);
+    ::shutdown(aCall.mSocket, SHUT_RDWR);
+  }
+
   /** The caller's mark and a body whose hash the caller can check. */
   static StandinReply Answer(const StandinCall& aCall, bool aIsCut)
   {
@@ -257,11 +274,10 @@
     reply.mHeaders.emplace_back("X-Mark", mark);
     reply.mHeaders.emplace_back("X-Hash", std::to_string(Hash64(body)));
     if (aIsCut) {
-      std::string raw =
+      SendAndClose(
+        aCall,
         "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
-        "\r\n\r\n" + body.substr(0, body.size() / 2);
-      ::send(aCall.mSocket, raw.data(), raw.size(), MSG_NOSIGNAL);
-      ::shutdown(aCall.mSocket, SHUT_RDWR);
+          "\r\n\r\n" + body.substr(0, body.size() / 2));
     }
     return reply;
   }
@@ -270,6 +286,8 @@
   SteadyClock::time_point mStartedAt;
   Random mRandom;
   Faults mFaults;
+  /** Bytes that are sent in place of the answers to work; empty for none. */
+  std::string mRawAnswer;
   std::mutex mMutex;
   std::condition_variable mChanged;
   unsigned mBusy = 0;
--- a/test/failure/bad-input.sh
+++ b/test/failure/bad-input.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Bad input to a proxy gets a clear status, a reason and a statement whether it ran;
-# answers that a target cuts short are never passed on as whole.
+# answers of a target that are cut short or broken are never passed on.
 set -u
 . "$(dirname "$0")/../../scripts/lib.sh"
 run=$(mktemp -d)
@@ -65,6 +65,22 @@
   -H "Idempotency-Key: $(key 000000000002)" "http://$proxy/ledger/fees"
 for t in ${targets_of[kitakaze]}; do curl -s -X POST "http://$t/faults?cutPercent=0" >/dev/null; done
 
+# answer_with BYTES: all targets answer with these bytes; without any, as usual. They
+# are written as for printf, so that they can hold line ends.
+answer_with() {
+  local t
+  printf '%b' "$1" >"$run/answer"
+  for t in ${targets_of[kitakaze]}; do
+    curl -s -X POST -G --data-urlencode "answer@$run/answer" "http://$t/faults" >/dev/null
+  done
+}
+
+answer_with 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+expect "an answer written by hand" 200 ran answered "http://$proxy/ledger/balance/9"
+answer_with 'HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok'
+expect "an answer of status 000" 502 unknown target-broke "http://$proxy/ledger/balance/9"
+answer_with ''
+
 # Whatever is not HTTP is closed or refused, and the proxy goes on.
 for junk in 'GET' 'G\0T / HTTP/1.1\r\n\r\n' "GET / HTTP/1.1\r\nX: $(head -c 9000 /dev/zero | tr '\0' a)\r\n\r\n" \
   'POST /ledger/fees HTTP/1.1\r\nContent-Length: -5\r\n\r\nabc'; do
