Take no reset for the end of an answer while the request is written

What callers saw: a worker answered a long upload at once with a 200 without length, sent part of its body and reset the connection.

Cause: a socket reports its error once. While a write is pending, the write gets ECONNRESET, and the read then gets the bytes that have come and an ordinary end, which ends a body without length. The comment that a failure shows on the reading side as well was wrong.

Change: the end of the reading side ends an answer only if the write has not failed before it, unless with EPIPE, which the kernel reports where the peer had closed in order before. It is judged one turn of the loop later, since the write's handler may be queued behind the read's.

Failed before: TruncatedAnswersAreFailures, WithoutLengthAreFailuresIfAnUploadIsReset (guards against a part of a body passed on as whole); its second new test held before and shows that whole answers under an upload still pass.

--- a/src/HttpExchange.cpp
+++ b/src/HttpExchange.cpp
@@ -91,9 +91,10 @@
       *mSocket,
       boost::asio::buffer(mRequest.mBytes),
       [self = shared_from_this()](const error_code& aError, std::size_t) {
-        // A failure shows on the reading side as well,
-        // behind an answer that may be there already.
+        // An answer may have come already: how the exchange ends is up to the
+        // reading side.
         self->mIsWritten = !aError;
+        self->mWriteError = aError;
       });
     Read();
   }
@@ -127,18 +128,35 @@
       return;
     }
     if (aError == boost::asio::error::eof) {
-      mParser->FeedEnd();
-      mHasEnded = true;
-      Parse();
+      // A write that failed before this read may not have been reported yet.
+      boost::asio::post(mLoop, [self = shared_from_this()] { self->OnEof(); });
+    } else if (aError) {
+      End(ExchangeEnd::Broken);
+    } else {
+      Read();
     }
+  }
+
+  void OnEof()
+  {
     if (mIsEnded) {
       return;
     }
-    if (aError) {
-      End(ExchangeEnd::Broken);
-    } else {
-      Read();
+    mHasEnded = true;
+    if (!IsCut()) {
+      mParser->FeedEnd();
+      Parse();
     }
+    End(ExchangeEnd::Broken);
+  }
+
+  /** Whether the connection broke while the request was being written. The
+   * write takes the socket's error then, and reading sees an ordinary end. The
+   * peer had closed in order before if the write fails with EPIPE: had the read
+   * taken the error, it would have failed. */
+  bool IsCut() const
+  {
+    return mWriteError && mWriteError != boost::asio::error::broken_pipe;
   }
 
   /** Counts received bytes. Returns false if they exceed the limits. */
@@ -230,6 +248,7 @@
   HttpResponse mResponse;
   bool mIsConnected = false;
   bool mIsWritten = false;
+  error_code mWriteError;
   bool mHasEnded = false;
   bool mIsEnded = false;
 };
--- a/test/correctness/TruncatedAnswersAreFailures.cpp
+++ b/test/correctness/TruncatedAnswersAreFailures.cpp
@@ -1,4 +1,5 @@
 #include "../support/FaultyTarget.h"
+#include "PlatformPort.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -26,6 +27,102 @@
   { "\r\n", "0123456789", true },
 };
 
+/** More than the sockets buffer, so that it is still being written when the
+ * answer comes. */
+constexpr std::size_t kUploadBytes = 12UL * 1024 * 1024;
+
+/** When a target answers an upload that it does not read. */
+enum class AnswerAt
+{
+  FirstBytes,
+  /** The proxy waits for the target to read on. */
+  FullBuffers
+};
+
+/** Runs until aResult is set, and lets aPeer answer an upload at aMoment. */
+template<typename Result>
+void
+AwaitResult(boost::asio::io_context& aLoop,
+            FaultyTarget& aPeer,
+            AnswerAt aMoment,
+            const std::optional<Result>& aResult)
+{
+  if (aMoment == AnswerAt::FullBuffers) {
+    while (!aPeer.HasRequests()) {
+      aLoop.run_one();
+    }
+    while (aLoop.poll() > 0) {
+    }
+    aPeer.Release();
+  }
+  while (!aResult) {
+    aLoop.run_one();
+  }
+}
+
+/** Returns the result of an upload to a target. */
+TargetResult
+UploadToTarget(const std::string& aAnswer,
+               FaultyTarget::AfterLast aEnd,
+               AnswerAt aMoment)
+{
+  boost::asio::io_context loop;
+  TargetDialect dialect = MakeDialect();
+  auto client = TargetClient::Make(loop, dialect);
+  FaultyTarget target(loop);
+  target.mAnswers = { aAnswer };
+  target.mAfterLast = aEnd;
+  target.mHoldsAnswers = aMoment == AnswerAt::FullBuffers;
+  TargetSend send = MakeSend(target.Id(), 1);
+  send.mMessage.mMethod = "POST";
+  send.mMessage.mBody.assign(kUploadBytes, 'u');
+  send.mIsIdempotent = false;
+  std::optional<TargetResult> result;
+  client->Send(send,
+               [&](TargetResult aResult) { result = std::move(aResult); });
+  AwaitResult(loop, target, aMoment, result);
+  return std::move(*result);
+}
+
+/** Returns how an upload to a store ends. */
+ExchangeEnd
+UploadToStore(const std::string& aAnswer,
+              FaultyTarget::AfterLast aEnd,
+              AnswerAt aMoment)
+{
+  boost::asio::io_context loop;
+  FaultyTarget store(loop);
+  store.mAnswers = { aAnswer };
+  store.mAfterLast = aEnd;
+  store.mHoldsAnswers = aMoment == AnswerAt::FullBuffers;
+  auto endpoint = ParseEndpoint(AddressOf(store.Id()));
+  auto connection = StoreConnection::Make(loop, *endpoint);
+  std::optional<ExchangeEnd> end;
+  connection->Call(
+    { "POST", "/", std::string(kUploadBytes, 'u'), kTimeout, {} },
+    [&](const StoreReply& aReply) { end = aReply.mEnd; });
+  AwaitResult(loop, store, aMoment, end);
+  return *end;
+}
+
+/** Checks whether uploads with this answer get a whole one. */
+void
+CheckUploads(const std::string& aAnswer,
+             FaultyTarget::AfterLast aEnd,
+             bool aIsWhole)
+{
+  for (AnswerAt it : { AnswerAt::FirstBytes, AnswerAt::FullBuffers }) {
+    TargetResult result = UploadToTarget(aAnswer, aEnd, it);
+    CHECK(result.mOutcome ==
+          (aIsWhole ? TargetOutcome::Answered : TargetOutcome::Broken));
+    if (result.mAnswer) {
+      STRCMP_EQUAL("0123456789", result.mAnswer->mBody.c_str());
+    }
+    CHECK(UploadToStore(aAnswer, aEnd, it) ==
+          (aIsWhole ? ExchangeEnd::Complete : ExchangeEnd::Broken));
+  }
+}
+
 /** Returns the result of a request whose answer is cut off after aBytes. */
 TargetResult
 SendToTruncating(const std::string& aAnswer,
@@ -73,3 +170,29 @@
     SendToTruncating(answer, answer.size(), FaultyTarget::AfterLast::Reset);
   CHECK(result.mOutcome == TargetOutcome::Broken);
 }
+
+/** Guards against a target that resets the connection while the request is
+ * still being written: the write takes the error, the reading side then sees an
+ * ordinary end, and callers got a part of the body as a complete answer. */
+TEST(TruncatedAnswers, WithoutLengthAreFailuresIfAnUploadIsReset)
+{
+  std::string head = std::string(kHead) + kFramings[2].mHeaders;
+  for (const char* part : { "", "01234", "0123456789" }) {
+    CheckUploads(head + part, FaultyTarget::AfterLast::Reset, false);
+  }
+}
+
+/** A target may answer before it has read all of a request. */
+TEST(TruncatedAnswers, AreNoneIfTheyEndInOrderUnderAnUpload)
+{
+  for (const Framing& it : kFramings) {
+    std::string answer = std::string(kHead) + it.mHeaders + it.mBody;
+    using AfterLast = FaultyTarget::AfterLast;
+    for (AfterLast end : { AfterLast::Close, AfterLast::CloseThenReset }) {
+      CheckUploads(answer, end, true);
+    }
+    if (!it.mEndsWithConnection) {
+      CheckUploads(answer, AfterLast::Reset, true);
+    }
+  }
+}
--- a/test/support/FaultyTarget.h
+++ b/test/support/FaultyTarget.h
@@ -37,13 +37,35 @@
   enum class AfterLast
   {
     KeepOpen,
+    /** Ends it in order, and reads no further. */
     Close,
-    Reset
+    Reset,
+    /** Ends it in order, and resets it where unread bytes have come. */
+    CloseThenReset
   };
   AfterLast mAfterLast = AfterLast::KeepOpen;
+  /** Answers wait for Release. */
+  bool mHoldsAnswers = false;
   std::size_t mSentBytes = 0;
   std::size_t mConnections = 0;
 
+  bool HasRequests() const { return !mWaiting.empty(); }
+
+  /** Sends the next answer on each connection that waits for one. What follows
+   * an answer happens before the loop runs again. */
+  void Release()
+  {
+    for (const auto& it : mWaiting) {
+      boost::system::error_code ec;
+      boost::asio::write(
+        it->mSocket, boost::asio::buffer(mAnswers[mNext++]), ec);
+      if (mNext == mAnswers.size()) {
+        End(it->mSocket);
+      }
+    }
+    mWaiting.clear();
+  }
+
 private:
   struct Connection
   {
@@ -77,7 +99,9 @@
         if (aError) {
           return;
         }
-        if (mNext < mAnswers.size()) {
+        if (mHoldsAnswers) {
+          mWaiting.push_back(aConnection);
+        } else if (mNext < mAnswers.size()) {
           aConnection->mOut = mAnswers[mNext++];
           bool isLast = mNext == mAnswers.size();
           Write(aConnection, isLast && !mEndless.empty(), isLast);
@@ -110,6 +134,9 @@
     boost::system::error_code ec;
     if (mAfterLast == AfterLast::Close) {
       aSocket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    } else if (mAfterLast == AfterLast::CloseThenReset) {
+      aSocket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+      aSocket.close(ec);
     } else if (mAfterLast == AfterLast::Reset) {
       aSocket.set_option(boost::asio::socket_base::linger(true, 0), ec);
       aSocket.close(ec);
@@ -118,6 +145,7 @@
 
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::size_t mNext = 0;
+  std::vector<std::shared_ptr<Connection>> mWaiting;
 };
 
 inline TargetDialect
