Refuse answers in transfer codings other than chunked

Cause: Beast reads a body whose coding it does not know until the connection ends, or by its length, and takes "gzip, chunked" for "chunked". The field is then removed, since it concerns one connection only.

Change: a head that names a transfer coding other than "chunked" alone is malformed, as is any in HTTP/1.0, which has none. The proxy asks for no coding, so a target has no reason to send one.

Failed before: BrokenAnswersAreFailures, WithOtherCodingsAreFailures (guards against coded bodies passed on). Bad chunk sizes, extensions and lengths were refused before; WithBadSizesAreFailures keeps that.

--- a/src/HttpMessage.cpp
+++ b/src/HttpMessage.cpp
@@ -69,19 +69,10 @@
 bool
 IsListed(std::string_view aList, std::string_view aName)
 {
-  while (!aList.empty()) {
-    std::size_t comma = aList.find(',');
-    std::string_view item = aList.substr(0, comma);
-    aList = comma == std::string_view::npos ? std::string_view()
-                                            : aList.substr(comma + 1);
-    std::size_t first = item.find_first_not_of(" \t");
-    std::size_t last = item.find_last_not_of(" \t");
-    if (first != std::string_view::npos &&
-        IsSameName(item.substr(first, last - first + 1), aName)) {
-      return true;
-    }
-  }
-  return false;
+  auto items = SplitList(aList);
+  return std::any_of(items.begin(), items.end(), [&](std::string_view aItem) {
+    return IsSameName(aItem, aName);
+  });
 }
 
 } // namespace
@@ -103,6 +94,24 @@
   return it == aHeaders.end() ? nullptr : &it->mValue;
 }
 
+std::vector<std::string_view>
+SplitList(std::string_view aList)
+{
+  std::vector<std::string_view> items;
+  while (!aList.empty()) {
+    std::size_t comma = aList.find(',');
+    std::string_view item = aList.substr(0, comma);
+    aList = comma == std::string_view::npos ? std::string_view()
+                                            : aList.substr(comma + 1);
+    std::size_t first = item.find_first_not_of(" \t");
+    std::size_t last = item.find_last_not_of(" \t");
+    if (first != std::string_view::npos) {
+      items.push_back(item.substr(first, last - first + 1));
+    }
+  }
+  return items;
+}
+
 bool
 IsHopByHop(const std::vector<Header>& aHeaders, std::string_view aName)
 {
--- a/src/HttpMessage.h
+++ b/src/HttpMessage.h
@@ -37,6 +37,11 @@
 bool
 IsSameName(std::string_view aLeft, std::string_view aRight);
 
+/** Returns the elements of a comma-separated list without the blanks around
+ * them. Empty ones are left out. They point into aList. Pure. */
+std::vector<std::string_view>
+SplitList(std::string_view aList);
+
 /** Whether a header speaks of one connection and its framing only, so that it
  * must not be passed on. Names listed in Connection count as well. Pure. */
 bool
--- a/src/HttpParser.cpp
+++ b/src/HttpParser.cpp
@@ -15,6 +15,8 @@
 /** The status codes that HTTP defines, RFC 9110 section 15. */
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kLastStatus = 599;
+/** Beast's number for HTTP/1.1. */
+constexpr unsigned kVersion11 = 11;
 
 HttpProgress
 ProgressOf(const error_code& aError)
@@ -76,6 +78,28 @@
          aHead.find("\r\n\t") != std::string_view::npos;
 }
 
+/** Whether a head names no transfer coding, or "chunked" alone: others can't be
+ * undone, and HTTP/1.0 has none. Beast reads a body whose coding it does not
+ * know as one without coding. */
+template<typename Message>
+bool
+HasKnownCoding(const Message& aHead)
+{
+  auto [begin, end] = aHead.equal_range(http::field::transfer_encoding);
+  if (begin == end) {
+    return true;
+  }
+  std::vector<std::string_view> codings;
+  for (auto it = begin; it != end; ++it) {
+    auto value = it->value();
+    for (std::string_view name : SplitList({ value.data(), value.size() })) {
+      codings.push_back(name);
+    }
+  }
+  return aHead.version() == kVersion11 && codings.size() == 1 &&
+         IsSameName(codings.front(), "chunked");
+}
+
 template<typename Fields>
 std::vector<Header>
 HeadersOf(const Fields& aFields)
@@ -199,7 +223,8 @@
   bool IsHeadAcceptable() const
   {
     unsigned status = mParser->get().result_int();
-    return status >= kFirstStatus && status <= kLastStatus;
+    return status >= kFirstStatus && status <= kLastStatus &&
+           HasKnownCoding(mParser->get());
   }
 
   bool IsInterim() const
--- a/test/correctness/BrokenAnswersAreFailures.cpp
+++ b/test/correctness/BrokenAnswersAreFailures.cpp
@@ -161,3 +161,87 @@
   CHECK(result.mOutcome == TargetOutcome::Answered);
   STRCMP_EQUAL("a b\tc", FindHeader(result.mAnswer->mHeaders, "X")->c_str());
 }
+
+TEST_GROUP(AnswerFramings){};
+
+/** Guards against transfer codings that the proxy can't undo: callers got the
+ * coded bytes, or what "gzip" had made of the body, as a body without coding.
+ */
+TEST(AnswerFramings, WithOtherCodingsAreFailures)
+{
+  for (const char* it : { "xchunked",
+                          "gzip",
+                          "identity",
+                          "gzip, chunked",
+                          "chunked, gzip",
+                          "chunked, chunked",
+                          "chunked gzip",
+                          "chunked;q=1",
+                          "\"chunked\"",
+                          "",
+                          ",",
+                          "gzip\r\nTransfer-Encoding: chunked",
+                          "chunked\r\nTransfer-Encoding: gzip",
+                          "xchunked\r\nContent-Length: 12",
+                          "chunked\r\nContent-Length: 12" }) {
+    std::string field = "Transfer-Encoding: " + std::string(it) + "\r\n";
+    CheckIsBroken(kOk + kOwn + field + "\r\n2\r\nok\r\n0\r\n\r\n");
+  }
+  // HTTP/1.0 has no transfer codings.
+  CheckIsBroken("HTTP/1.0 200 OK\r\n" + std::string(kOwn) +
+                "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+}
+
+TEST(AnswerFramings, InChunksArePassedOn)
+{
+  for (const char* it :
+       { "chunked", "CHUNKED", "\tChunked ", "chunked,", " , chunked" }) {
+    for (const char* size : { "2", "02", "2;a", "2;a=b", "2;a=\"b\"" }) {
+      TargetResult result =
+        CallTarget(kOk + kOwn + "Transfer-Encoding: " + it + "\r\n\r\n" + size +
+                     "\r\nok\r\n0\r\n\r\n",
+                   FaultyTarget::AfterLast::KeepOpen);
+      CHECK(result.mOutcome == TargetOutcome::Answered);
+      STRCMP_EQUAL("ok", result.mAnswer->mBody.c_str());
+    }
+  }
+}
+
+/** Guards against chunks and lengths that can be read in two ways. */
+TEST(AnswerFramings, WithBadSizesAreFailures)
+{
+  for (const char* it : { " 2",
+                          "2 ",
+                          "+2",
+                          "-2",
+                          "0x2",
+                          "",
+                          "g",
+                          "2g",
+                          "2,2",
+                          "2;\x01",
+                          "2;a=",
+                          "2\t",
+                          "2 2",
+                          "1",
+                          "3",
+                          "10000000000000002",
+                          "ffffffffffffffff" }) {
+    CheckIsBroken(kOk + kOwn + "Transfer-Encoding: chunked\r\n\r\n" + it +
+                  "\r\nok\r\n0\r\n\r\n");
+  }
+  for (const char* it : { "+2",
+                          "-2",
+                          "0x2",
+                          "",
+                          "2 2",
+                          "2,",
+                          "2, 3",
+                          "2;a",
+                          "2.0",
+                          "2a",
+                          "18446744073709551618",
+                          "2\r\nContent-Length: 3" }) {
+    CheckIsBroken(kOk + kOwn + "Content-Length: " + it + "\r\n\r\nok");
+  }
+}
