Take no trailer of an answer for a part of its head

Cause: Beast adds the fields of a trailer to those of the head.

Evidence: a stand-in that sends them; no worker was seen to.

Change: the fields of an answer are taken when its head is complete, and those behind the body are dropped.

Failed before: BrokenAnswersAreFailures, ChangeNothing and ProveNothing (guard against a trailer taken for the head).

--- a/src/HttpParser.cpp
+++ b/src/HttpParser.cpp
@@ -187,6 +187,8 @@
   bool mIsToHead = false;
   std::optional<http::response_parser<http::string_body>> mParser;
   HttpProgress mProgress = HttpProgress::Incomplete;
+  /** The head, once it is complete. */
+  HttpResponse mResponse;
 
   void Begin()
   {
@@ -210,6 +212,8 @@
       bool isDone = mParser->is_header_done();
       if (isContinued || (isDone && !IsHeadAcceptable())) {
         mProgress = HttpProgress::Malformed;
+      } else if (isDone) {
+        TakeHead();
       }
     }
     if (mProgress == HttpProgress::Incomplete && mParser->is_header_done()) {
@@ -227,6 +231,16 @@
            HasKnownCoding(mParser->get());
   }
 
+  /** Takes the fields out before Beast adds those of a trailer, which must not
+   * be taken for fields of the head (RFC 9110 section 6.5.1). */
+  void TakeHead()
+  {
+    const auto& head = mParser->get();
+    mResponse.mStatus = head.result_int();
+    mResponse.mHeaders = HeadersOf(head);
+    mResponse.mKeepsAlive = head.keep_alive();
+  }
+
   bool IsInterim() const
   {
     return mProgress == HttpProgress::Complete &&
@@ -291,12 +305,8 @@
 HttpResponse
 ResponseParser::Take()
 {
-  auto message = mImpl->mParser->release();
-  HttpResponse response;
-  response.mStatus = message.result_int();
-  response.mHeaders = HeadersOf(message);
-  response.mKeepsAlive = message.keep_alive();
-  response.mBody = std::move(message.body());
+  HttpResponse response = std::move(mImpl->mResponse);
+  response.mBody = std::move(mImpl->mParser->get().body());
   return response;
 }
 
--- a/test/correctness/BrokenAnswersAreFailures.cpp
+++ b/test/correctness/BrokenAnswersAreFailures.cpp
@@ -245,3 +245,51 @@
     CheckIsBroken(kOk + kOwn + "Content-Length: " + it + "\r\n\r\nok");
   }
 }
+
+TEST_GROUP(AnswerTrailers){};
+
+/** Returns the result of an answer in chunks with a trailer. */
+TargetResult
+CallWithTrailer(const std::string& aHead, const std::string& aTrailer)
+{
+  return CallTarget(aHead +
+                      "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" +
+                      aTrailer + "\r\n\r\n",
+                    FaultyTarget::AfterLast::KeepOpen);
+}
+
+/** Guards against fields behind the body that were taken for fields of the
+ * head: an answer that had run counted as "not run", and callers got two
+ * signatures or the id of another request. */
+TEST(AnswerTrailers, ChangeNothing)
+{
+  for (const char* it : { "Not-Executed: 1",
+                          "Signature: t",
+                          "Request-Id: request-2",
+                          "Vanillascale-Leaving: 1",
+                          "Vanillascale-Request-Limit: 1",
+                          "Content-Encoding: gzip",
+                          "Connection: Signature",
+                          "X: 1" }) {
+    TargetResult result = CallWithTrailer(kOk + kOwn, it);
+    CHECK(result.mOutcome == TargetOutcome::Answered);
+    CHECK(!result.mStatements->mIsLeaving);
+    CHECK(!result.mStatements->mRequestLimit);
+    LONGS_EQUAL(2, result.mAnswer->mHeaders.size());
+    STRCMP_EQUAL("request-1",
+                 FindHeader(result.mAnswer->mHeaders, "Request-Id")->c_str());
+    STRCMP_EQUAL("s",
+                 FindHeader(result.mAnswer->mHeaders, "Signature")->c_str());
+  }
+}
+
+/** Guards against a promise or a signature that stands behind the body only. */
+TEST(AnswerTrailers, ProveNothing)
+{
+  std::string id = "Request-Id: request-1\r\n";
+  CHECK(CallWithTrailer(kOk + id, "Signature: s").mOutcome ==
+        TargetOutcome::Broken);
+  CHECK(
+    CallWithTrailer("HTTP/1.1 503 Busy\r\n" + id, "Not-Executed: 1").mOutcome ==
+    TargetOutcome::Broken);
+}
