Pass on no success that loses its signature on the way

Cause: the signature was looked for in what the target sent; fields that Connection names are removed afterwards, as HTTP asks.

Evidence: a stand-in that sends such heads; no worker was seen to.

Change: an answer counts as signed if the signature is not empty and is passed on. One that is not is a failure, as before.

Failed before: BrokenAnswersAreFailures, ThatDropTheSignatureAreFailures (guards against unsigned successes).

--- a/src/Dialects.cpp
+++ b/src/Dialects.cpp
@@ -67,6 +67,19 @@
          aStatus == kStatusTooManyRequests || aStatus == kStatusUnavailable;
 }
 
+/** Whether an answer reaches its caller with the target's signature. */
+bool
+IsSigned(const TargetDialect& aDialect, const HttpResponse& aResponse)
+{
+  if (aDialect.mSignature.empty()) {
+    return true;
+  }
+  const std::string* value =
+    FindHeader(aResponse.mHeaders, aDialect.mSignature);
+  return value && !value->empty() &&
+         !IsHopByHop(aResponse.mHeaders, aDialect.mSignature);
+}
+
 bool
 StatesNotRun(const TargetDialect& aDialect, const HttpResponse& aResponse)
 {
@@ -227,8 +240,7 @@
     }
     return result;
   }
-  bool isSigned = aDialect.mSignature.empty() ||
-                  FindHeader(aResponse.mHeaders, aDialect.mSignature);
+  bool isSigned = IsSigned(aDialect, aResponse);
   bool isEncoded = !aDialect.mSignature.empty() &&
                    FindHeader(aResponse.mHeaders, "Content-Encoding");
   bool isForeign = IsSuccess(aResponse.mStatus) && (!isSigned || isEncoded);
--- a/test/correctness/BrokenAnswersAreFailures.cpp
+++ b/test/correctness/BrokenAnswersAreFailures.cpp
@@ -153,6 +153,22 @@
   }
 }
 
+/** Guards against a success that would lose its signature on the way: callers
+ * got it without one. */
+TEST(AnswerFields, ThatDropTheSignatureAreFailures)
+{
+  std::string id = "Request-Id: request-1\r\n";
+  for (const char* it :
+       { "Signature:\r\n",
+         "Signature: \t \r\n",
+         "Signature: s\r\nConnection: Signature\r\n",
+         "Connection: close, signature\r\nSignature: s\r\n" }) {
+    TargetResult result =
+      CallTarget(kOk + id + it + kTwoBytes, FaultyTarget::AfterLast::KeepOpen);
+    CHECK(result.mOutcome == TargetOutcome::Broken);
+  }
+}
+
 TEST(AnswerFields, WithBlanksInTheirValuesArePassedOn)
 {
   TargetResult result =
