Refuse answers that name two requests or have two signatures

A refusal with two ids counted as "not run".

Cause: of several fields with a name the first was read, and all were passed on.

Evidence: a stand-in that sends such heads; no worker was seen to.

Change: an answer with several ids or signatures that differ is broken, since it can't be told whose it is. The same value repeated passes as before.

Failed before: BrokenAnswersAreFailures, ThatContradictEachOtherAreFailures (guards against answers of which it can't be told whose they are).

--- a/src/Dialects.cpp
+++ b/src/Dialects.cpp
@@ -67,6 +67,28 @@
          aStatus == kStatusTooManyRequests || aStatus == kStatusUnavailable;
 }
 
+/** Whether an answer has several values of a header that has one. */
+bool
+HasOtherValues(const HttpResponse& aResponse, const std::string& aName)
+{
+  const std::string* first = FindHeader(aResponse.mHeaders, aName);
+  return std::any_of(aResponse.mHeaders.begin(),
+                     aResponse.mHeaders.end(),
+                     [&](const Header& aHeader) {
+                       return IsSameName(aHeader.mName, aName) &&
+                              aHeader.mValue != *first;
+                     });
+}
+
+/** Whether it can't be told to which request an answer belongs, or whose it is.
+ */
+bool
+IsAmbiguous(const TargetDialect& aDialect, const HttpResponse& aResponse)
+{
+  return HasOtherValues(aResponse, aDialect.mRequestId) ||
+         HasOtherValues(aResponse, aDialect.mSignature);
+}
+
 /** Whether an answer reaches its caller with the target's signature. */
 bool
 IsSigned(const TargetDialect& aDialect, const HttpResponse& aResponse)
@@ -227,6 +249,9 @@
 TargetResult
 InterpretAnswer(const TargetDialect& aDialect, HttpResponse aResponse)
 {
+  if (IsAmbiguous(aDialect, aResponse)) {
+    return {};
+  }
   if (StatesNotRun(aDialect, aResponse)) {
     bool isDraining = !aDialect.mDraining.empty() &&
                       FindHeader(aResponse.mHeaders, aDialect.mDraining);
--- a/test/correctness/BrokenAnswersAreFailures.cpp
+++ b/test/correctness/BrokenAnswersAreFailures.cpp
@@ -169,6 +169,24 @@
   }
 }
 
+/** Guards against an answer that names two requests, or has two signatures: its
+ * caller can't tell whether it is its own. A refusal of this kind proves
+ * nothing. */
+TEST(AnswerFields, ThatContradictEachOtherAreFailures)
+{
+  std::string busy = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n";
+  for (const char* it : { "Request-Id: request-2\r\n", "Signature: t\r\n" }) {
+    for (const std::string& start : { kOk, busy }) {
+      TargetResult result = CallTarget(start + kOwn + it + kTwoBytes,
+                                       FaultyTarget::AfterLast::KeepOpen);
+      CHECK(result.mOutcome == TargetOutcome::Broken);
+    }
+  }
+  TargetResult repeated = CallTarget(kOk + kOwn + kOwn + kTwoBytes,
+                                     FaultyTarget::AfterLast::KeepOpen);
+  CHECK(repeated.mOutcome == TargetOutcome::Answered);
+}
+
 TEST(AnswerFields, WithBlanksInTheirValuesArePassedOn)
 {
   TargetResult result =
