Keep short rests of chunked bodies until more has come

What was seen: a process built with assertions ended on a request or an answer in chunks without a body whose end came in two pieces. The deployed build has no assertions and read it well.

Cause: once Beast has seen the size of the last chunk it takes for granted that it is called with at least 5 bytes.

Evidence: "Assertion n >= 5 failed" in test-HttpIsParsed of the AddressSanitizer build, on the code before.

Change: fewer bytes than the shortest rest of a chunked body are kept.

Failed before: HttpIsParsed, ChunkedRequestsComeInPiecesOfAnySize and ChunkedAnswersComeInPiecesOfAnySize, in the AddressSanitizer build (guard against assertions that bytes from outside can fail).

--- a/src/HttpParser.cpp
+++ b/src/HttpParser.cpp
@@ -17,6 +17,8 @@
 constexpr unsigned kLastStatus = 599;
 /** Beast's number for HTTP/1.1. */
 constexpr unsigned kVersion11 = 11;
+/** The size of "0", two line ends behind it. */
+constexpr std::size_t kLeastChunkedBytes = 5;
 
 HttpProgress
 ProgressOf(const error_code& aError)
@@ -33,6 +35,17 @@
   return HttpProgress::Malformed;
 }
 
+/** Whether so few bytes of a chunked body can't be parsed yet. Any rest of such
+ * a body has at least a last chunk and an empty line, and Beast asserts that it
+ * gets no less once it has seen the size of the last chunk. */
+template<typename Parser>
+bool
+MustWaitForMore(const Parser& aParser, std::size_t aBytes)
+{
+  return aParser.is_header_done() && aParser.chunked() &&
+         aBytes < kLeastChunkedBytes;
+}
+
 /** Feeds a Beast parser as long as it consumes anything, or until aIsReached
  * returns true. */
 template<typename Parser, typename Predicate>
@@ -43,7 +56,7 @@
           const Predicate& aIsReached)
 {
   std::size_t total = 0;
-  while (!aIsReached()) {
+  while (!aIsReached() && !MustWaitForMore(aParser, aBytes.size() - total)) {
     error_code ec;
     std::size_t n = aParser.put(
       boost::asio::buffer(aBytes.data() + total, aBytes.size() - total), ec);
@@ -68,9 +81,9 @@
     aParser, aBytes, aProgress, [&] { return aParser.is_done(); });
 }
 
-/** Whether a line of a head continues the field before it, which RFC 9112
- * section 5.2 forbids. Beast joins such lines, and a sender that did not mean
- * to continue the field has changed it. */
+/** Whether a line of a head continues the field before it. Beast joins the two,
+ * which RFC 9112 section 5.2 allows, but a broken sender did not mean the value
+ * that results. */
 bool
 HasContinuationLine(std::string_view aHead)
 {
--- a/test/correctness/HttpIsParsed.cpp
+++ b/test/correctness/HttpIsParsed.cpp
@@ -103,6 +103,48 @@
   STRCMP_EQUAL("all of it", unframed->Take().mBody.c_str());
 }
 
+/** Guards against an empty body in chunks whose end comes byte by byte: it
+ * ended processes that were built with assertions. */
+TEST(Http, ChunkedRequestsComeInPiecesOfAnySize)
+{
+  for (const char* it : { "", "2\r\nok\r\n" }) {
+    std::string text = "PUT / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                       std::string(it) + "0\r\n\r\n";
+    for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+      auto parser = RequestParser::Make({});
+      std::string rest = FeedInPieces(*parser, text + "rest", piece);
+      CHECK(parser->Progress() == HttpProgress::Complete);
+      STRCMP_EQUAL(*it == '\0' ? "" : "ok", parser->Take().mBody.c_str());
+      STRCMP_EQUAL("rest", rest.c_str());
+    }
+  }
+}
+
+/** Guards against the same in answers. */
+TEST(Http, ChunkedAnswersComeInPiecesOfAnySize)
+{
+  for (const char* it : { "", "2\r\nok\r\n", "1\r\no\r\n1;a=b\r\nk\r\n" }) {
+    for (const char* trailer : { "", "X: 1\r\n" }) {
+      std::string text = "HTTP/1.1 103 Early Hints\r\nX: 1\r\n\r\n"
+                         "HTTP/1.1 200 OK\r\nA: 1\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n";
+      text += it;
+      text += "0\r\n";
+      text += trailer;
+      text += "\r\n";
+      for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+        auto parser = ResponseParser::Make({}, false);
+        std::string rest = FeedInPieces(*parser, text + "rest", piece);
+        CHECK(parser->Progress() == HttpProgress::Complete);
+        STRCMP_EQUAL("rest", rest.c_str());
+        HttpResponse response = parser->Take();
+        STRCMP_EQUAL(*it == '\0' ? "" : "ok", response.mBody.c_str());
+        LONGS_EQUAL(2, response.mHeaders.size());
+      }
+    }
+  }
+}
+
 TEST(Http, ContinuationLinesAreRefusedInPiecesOfAnySize)
 {
   std::string text = "HTTP/1.1 200 OK\r\nA: 1\r\nB: 2\r\n more\r\n"
