Look at a kept connection to the store before it is used again

Cause: connections to targets are checked before they are used again; those to the store were not.

Evidence: a stand-in that sends a copy between two calls; no store was seen to.

Change: the check is one function now, and the store's connections and the command line's use it. The load tool does not, so that it still notices a proxy that closes a connection or sends bytes unasked.

Failed before: BrokenAnswersAreFailures, OfTheStoreAreNotTakenForTheNext (guards against a late answer taken for the next one's).

--- a/src/HttpExchange.cpp
+++ b/src/HttpExchange.cpp
@@ -267,6 +267,19 @@
   return exchange;
 }
 
+bool
+IsFitForReuse(boost::asio::ip::tcp::socket& aSocket)
+{
+  error_code ec;
+  aSocket.non_blocking(true, ec);
+  if (ec) {
+    return false;
+  }
+  char byte = 0;
+  aSocket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+  return ec == boost::asio::error::would_block;
+}
+
 void
 TuneSocket(boost::asio::ip::tcp::socket& aSocket)
 {
--- a/src/HttpExchange.h
+++ b/src/HttpExchange.h
@@ -79,6 +79,12 @@
   virtual void Cancel() = 0;
 };
 
+/** Whether a kept connection can carry another exchange: it is open, and no
+ * bytes have come that nobody asked for. Changes the socket to non-blocking.
+ * The loop's thread only. */
+bool
+IsFitForReuse(boost::asio::ip::tcp::socket& aSocket);
+
 /** Bounds how long the kernel goes on sending to a peer that no longer answers,
  * and turns off the delay of small writes. */
 void
--- a/src/PlatformPort.cpp
+++ b/src/PlatformPort.cpp
@@ -10,17 +10,21 @@
 } // namespace
 
 StoreConnection::StoreConnection(boost::asio::io_context& aLoop,
-                                 const Endpoint& aPlatform)
+                                 const Endpoint& aPlatform,
+                                 ReusePolicy aPolicy)
   : mLoop(aLoop)
   , mPlatform(aPlatform)
+  , mPolicy(aPolicy)
 {
 }
 
 std::shared_ptr<StoreConnection>
-StoreConnection::Make(boost::asio::io_context& aLoop, const Endpoint& aPlatform)
+StoreConnection::Make(boost::asio::io_context& aLoop,
+                      const Endpoint& aPlatform,
+                      ReusePolicy aPolicy)
 {
   return std::shared_ptr<StoreConnection>(
-    new StoreConnection(aLoop, aPlatform));
+    new StoreConnection(aLoop, aPlatform, aPolicy));
 }
 
 void
@@ -39,6 +43,9 @@
     return;
   }
   mIsBusy = true;
+  if (mPolicy == ReusePolicy::IfFit && mSocket && !IsFitForReuse(*mSocket)) {
+    mSocket.reset();
+  }
   auto [call, callback] = std::move(mWaiting.front());
   mWaiting.erase(mWaiting.begin());
   HttpRequest message;
@@ -69,15 +76,17 @@
     });
 }
 
-BlockingConnection::BlockingConnection(const Endpoint& aServer)
-  : mConnection(StoreConnection::Make(mLoop, aServer))
+BlockingConnection::BlockingConnection(const Endpoint& aServer,
+                                       ReusePolicy aPolicy)
+  : mConnection(StoreConnection::Make(mLoop, aServer, aPolicy))
 {
 }
 
 std::unique_ptr<BlockingConnection>
-BlockingConnection::Make(const Endpoint& aServer)
+BlockingConnection::Make(const Endpoint& aServer, ReusePolicy aPolicy)
 {
-  return std::unique_ptr<BlockingConnection>(new BlockingConnection(aServer));
+  return std::unique_ptr<BlockingConnection>(
+    new BlockingConnection(aServer, aPolicy));
 }
 
 StoreReply
--- a/src/PlatformPort.h
+++ b/src/PlatformPort.h
@@ -54,6 +54,16 @@
   HttpResponse mResponse;
 };
 
+/** When a kept connection is used for the next call. */
+enum class ReusePolicy
+{
+  /** Only while it is open and no bytes have come that nobody asked for, such
+   * as a second copy of an answer. */
+  IfFit,
+  /** In any case, so that a call shows what the server did to it. */
+  Always
+};
+
 /** Makes calls one after the other on a kept connection, each at most once. A
  * connection on which a call went wrong is not used again. The loop's thread
  * only. */
@@ -62,18 +72,23 @@
 public:
   using Callback = std::function<void(StoreReply)>;
 
-  static std::shared_ptr<StoreConnection> Make(boost::asio::io_context& aLoop,
-                                               const Endpoint& aPlatform);
+  static std::shared_ptr<StoreConnection> Make(
+    boost::asio::io_context& aLoop,
+    const Endpoint& aPlatform,
+    ReusePolicy aPolicy = ReusePolicy::IfFit);
 
   /** Queues a call. aCallback is called once, never from within. */
   void Call(StoreCall aCall, Callback aCallback);
 
 private:
-  StoreConnection(boost::asio::io_context& aLoop, const Endpoint& aPlatform);
+  StoreConnection(boost::asio::io_context& aLoop,
+                  const Endpoint& aPlatform,
+                  ReusePolicy aPolicy);
   void StartNext();
 
   boost::asio::io_context& mLoop;
   Endpoint mPlatform;
+  ReusePolicy mPolicy;
   ReusableSocket mSocket;
   std::vector<std::pair<StoreCall, Callback>> mWaiting;
   bool mIsBusy = false;
@@ -89,13 +104,15 @@
 class BlockingConnection
 {
 public:
-  static std::unique_ptr<BlockingConnection> Make(const Endpoint& aServer);
+  static std::unique_ptr<BlockingConnection> Make(
+    const Endpoint& aServer,
+    ReusePolicy aPolicy = ReusePolicy::IfFit);
 
   /** Makes a call and waits for its end. */
   StoreReply Call(StoreCall aCall);
 
 private:
-  explicit BlockingConnection(const Endpoint& aServer);
+  BlockingConnection(const Endpoint& aServer, ReusePolicy aPolicy);
 
   boost::asio::io_context mLoop{ 1 };
   std::shared_ptr<StoreConnection> mConnection;
--- a/src/TargetClient.cpp
+++ b/src/TargetClient.cpp
@@ -81,17 +81,7 @@
   while (!it->second.empty()) {
     Kept kept = std::move(it->second.back());
     it->second.pop_back();
-    boost::system::error_code ec;
-    // Bytes that nobody asked for, or the end, make it unfit.
-    bool isFit =
-      kept.mSince > oldest && kept.mSocket->available(ec) == 0 && !ec;
-    char probe = 0;
-    kept.mSocket->non_blocking(true, ec);
-    kept.mSocket->receive(boost::asio::buffer(&probe, 1),
-                          boost::asio::ip::tcp::socket::message_peek,
-                          ec);
-    isFit = isFit && ec == boost::asio::error::would_block;
-    if (isFit) {
+    if (kept.mSince > oldest && IsFitForReuse(*kept.mSocket)) {
       return std::move(kept.mSocket);
     }
   }
--- a/standins/LoadTool.cpp
+++ b/standins/LoadTool.cpp
@@ -355,13 +355,14 @@
     }
 
     /** The connection to a proxy. It never sends a request twice: one that did
-     * would say "first attempt" of a second. */
+     * would say "first attempt" of a second. It is used until a call fails, so
+     * that a proxy that closes it or sends bytes unasked shows. */
     BlockingConnection& ClientOf(std::size_t aProxy)
     {
       auto& client = mClients[aProxy];
       if (!client) {
         auto endpoint = ParseEndpoint(mLoad.mBalancer.Address(aProxy));
-        client = BlockingConnection::Make(*endpoint);
+        client = BlockingConnection::Make(*endpoint, ReusePolicy::Always);
       }
       return *client;
     }
--- a/test/correctness/BrokenAnswersAreFailures.cpp
+++ b/test/correctness/BrokenAnswersAreFailures.cpp
@@ -327,3 +327,30 @@
     CallWithTrailer("HTTP/1.1 503 Busy\r\n" + id, "Not-Executed: 1").mOutcome ==
     TargetOutcome::Broken);
 }
+
+TEST_GROUP(LateAnswers){};
+
+/** Guards against a store that writes an answer twice, the second time after
+ * the first has been read: the next call on the connection took it for its own.
+ */
+TEST(LateAnswers, OfTheStoreAreNotTakenForTheNext)
+{
+  boost::asio::io_context loop;
+  FaultyTarget store(loop);
+  store.mAnswers = { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond" };
+  auto endpoint = ParseEndpoint(AddressOf(store.Id()));
+  auto connection = StoreConnection::Make(loop, *endpoint);
+  auto call = [&] {
+    std::optional<StoreReply> reply;
+    connection->Call({ "GET", "/", "", kTimeout, {} },
+                     [&](StoreReply aReply) { reply = std::move(aReply); });
+    while (!reply) {
+      loop.run_one();
+    }
+    return std::move(reply->mResponse.mBody);
+  };
+  STRCMP_EQUAL("first", call().c_str());
+  store.SendUnasked(store.mAnswers.front());
+  STRCMP_EQUAL("second", call().c_str());
+}
--- a/test/support/FaultyTarget.h
+++ b/test/support/FaultyTarget.h
@@ -49,6 +49,14 @@
   std::size_t mSentBytes = 0;
   std::size_t mConnections = 0;
 
+  /** Sends bytes on the connection that was made last. Precondition: it is
+   * open.
+   */
+  void SendUnasked(const std::string& aBytes)
+  {
+    boost::asio::write(mNewest.lock()->mSocket, boost::asio::buffer(aBytes));
+  }
+
   bool HasRequests() const { return !mWaiting.empty(); }
 
   /** Sends the next answer on each connection that waits for one. What follows
@@ -84,7 +92,9 @@
                                   boost::asio::ip::tcp::socket aIt) {
       if (!aError) {
         ++mConnections;
-        Read(std::make_shared<Connection>(std::move(aIt)));
+        auto connection = std::make_shared<Connection>(std::move(aIt));
+        mNewest = connection;
+        Read(connection);
         Accept();
       }
     });
@@ -146,6 +156,7 @@
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::size_t mNext = 0;
   std::vector<std::shared_ptr<Connection>> mWaiting;
+  std::weak_ptr<Connection> mNewest;
 };
 
 inline TargetDialect
