--- a/test/correctness/BrokenAnswersAreFailures.cpp
+++ b/test/correctness/BrokenAnswersAreFailures.cpp
@@ -9,22 +9,38 @@
 
 namespace {
 
+using AfterLast = FaultyTarget::AfterLast;
+
 /** The head fields of a complete answer but its framing. */
-constexpr const char* kOwn = "Request-Id: request-1\r\nSignature: s\r\n";
-constexpr const char* kTwoBytes = "Content-Length: 2\r\n\r\nok";
+constexpr std::string_view kOwn = "Request-Id: request-1\r\nSignature: s\r\n";
+constexpr std::string_view kOwnId = "Request-Id: request-1\r\n";
+/** A body without the end of its trailer. */
+constexpr std::string_view kInChunks =
+  "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+constexpr std::string_view kTwoBytes = "Content-Length: 2\r\n\r\nok";
 
-const std::string kOk = "HTTP/1.1 200 OK\r\n";
+constexpr std::string_view kOk = "HTTP/1.1 200 OK\r\n";
+
+std::string
+Join(std::initializer_list<std::string_view> aParts)
+{
+  std::string text;
+  for (std::string_view it : aParts) {
+    text += it;
+  }
+  return text;
+}
 
 /** Returns a complete answer. */
 std::string
-MakeAnswer(const std::string& aStatus)
+MakeAnswer(std::string_view aStatus)
 {
-  return "HTTP/1.1 " + aStatus + "\r\n" + kOwn + kTwoBytes;
+  return Join({ "HTTP/1.1 ", aStatus, "\r\n", kOwn, kTwoBytes });
 }
 
 /** Returns the result of a request to a target that sends aAnswer. */
 TargetResult
-CallTarget(const std::string& aAnswer, FaultyTarget::AfterLast aEnd)
+CallTarget(const std::string& aAnswer, AfterLast aEnd)
 {
   boost::asio::io_context loop;
   TargetDialect dialect = MakeDialect();
@@ -38,7 +54,7 @@
 /** Returns how a call to a store that sends aAnswer ends. The command line and
  * the load tool read their answers the same way. */
 ExchangeEnd
-CallStore(const std::string& aAnswer, FaultyTarget::AfterLast aEnd)
+CallStore(const std::string& aAnswer, AfterLast aEnd)
 {
   boost::asio::io_context loop;
   FaultyTarget store(loop);
@@ -60,7 +76,6 @@
 void
 CheckIsBroken(const std::string& aAnswer)
 {
-  using AfterLast = FaultyTarget::AfterLast;
   for (AfterLast it : { AfterLast::Close, AfterLast::KeepOpen }) {
     CHECK(CallTarget(aAnswer, it).mOutcome == TargetOutcome::Broken);
     CHECK(CallStore(aAnswer, it) == ExchangeEnd::Broken);
@@ -86,16 +101,16 @@
 TEST(AnswerStatuses, OutsideTheProtocolAreFailuresInInterimAnswers)
 {
   for (const char* it : { "000", "099" }) {
-    CheckIsBroken("HTTP/1.1 " + std::string(it) + " X\r\n\r\n" +
-                  MakeAnswer("200 OK"));
+    CheckIsBroken(
+      Join({ "HTTP/1.1 ", it, " X\r\n\r\n", MakeAnswer("200 OK") }));
   }
 }
 
 TEST(AnswerStatuses, OfTheProtocolArePassedOn)
 {
   for (unsigned it : { 200U, 299U, 300U, 399U, 400U, 499U, 500U, 599U }) {
-    TargetResult result = CallTarget(MakeAnswer(std::to_string(it) + " X"),
-                                     FaultyTarget::AfterLast::KeepOpen);
+    TargetResult result =
+      CallTarget(MakeAnswer(std::to_string(it) + " X"), AfterLast::KeepOpen);
     CHECK(result.mAnswer != nullptr);
     LONGS_EQUAL(it, result.mAnswer->mStatus);
   }
@@ -124,15 +139,12 @@
                                  "\x01"
                                  "Content-Length"s }) {
     std::string line = it + ": 1\r\n";
-    std::string body = "Content-Length: 2\r\n\r\nok";
-    CheckIsBroken(kOk + line + kOwn + body);
-    CheckIsBroken(kOk + kOwn + line + body);
-    CheckIsBroken(kOk + kOwn + "Content-Length: 2\r\n"s + line + "\r\nok");
-    CheckIsBroken("HTTP/1.1 100 Continue\r\n" + line + "\r\n" +
-                  MakeAnswer("200 OK"));
-    CheckIsBroken(kOk + kOwn +
-                  "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"s + line +
-                  "\r\n");
+    CheckIsBroken(Join({ kOk, line, kOwn, kTwoBytes }));
+    CheckIsBroken(Join({ kOk, kOwn, line, kTwoBytes }));
+    CheckIsBroken(Join({ kOk, kOwn, "Content-Length: 2\r\n", line, "\r\nok" }));
+    CheckIsBroken(Join(
+      { "HTTP/1.1 100 Continue\r\n", line, "\r\n", MakeAnswer("200 OK") }));
+    CheckIsBroken(Join({ kOk, kOwn, kInChunks, line, "\r\n" }));
   }
 }
 
@@ -143,13 +155,15 @@
 {
   for (const std::string& it : { " "s, "\t"s, "  "s, " \t"s }) {
     std::string line = it + "Content-Length: 2\r\n";
-    CheckIsBroken(kOk + line + kOwn + "\r\nok and more");
-    CheckIsBroken(kOk + std::string(kOwn) + line + "\r\nok and more");
-    CheckIsBroken(kOk + std::string(kOwn) + it + "\r\n" + kTwoBytes);
-    CheckIsBroken(kOk + std::string(kOwn) + "Content-Length:\r\n" + it +
-                  "2\r\n\r\nok");
-    CheckIsBroken("HTTP/1.1 100 Continue\r\nX: 1\r\n" + line + "\r\n" +
-                  MakeAnswer("200 OK"));
+    CheckIsBroken(Join({ kOk, line, kOwn, "\r\nok and more" }));
+    CheckIsBroken(Join({ kOk, kOwn, line, "\r\nok and more" }));
+    CheckIsBroken(Join({ kOk, kOwn, it, "\r\n", kTwoBytes }));
+    CheckIsBroken(
+      Join({ kOk, kOwn, "Content-Length:\r\n", it, "2\r\n\r\nok" }));
+    CheckIsBroken(Join({ "HTTP/1.1 100 Continue\r\nX: 1\r\n",
+                         line,
+                         "\r\n",
+                         MakeAnswer("200 OK") }));
   }
 }
 
@@ -157,14 +171,13 @@
  * got it without one. */
 TEST(AnswerFields, ThatDropTheSignatureAreFailures)
 {
-  std::string id = "Request-Id: request-1\r\n";
   for (const char* it :
        { "Signature:\r\n",
          "Signature: \t \r\n",
          "Signature: s\r\nConnection: Signature\r\n",
          "Connection: close, signature\r\nSignature: s\r\n" }) {
     TargetResult result =
-      CallTarget(kOk + id + it + kTwoBytes, FaultyTarget::AfterLast::KeepOpen);
+      CallTarget(Join({ kOk, kOwnId, it, kTwoBytes }), AfterLast::KeepOpen);
     CHECK(result.mOutcome == TargetOutcome::Broken);
   }
 }
@@ -174,24 +187,23 @@
  * nothing. */
 TEST(AnswerFields, ThatContradictEachOtherAreFailures)
 {
-  std::string busy = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n";
+  constexpr std::string_view kBusy = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n";
   for (const char* it : { "Request-Id: request-2\r\n", "Signature: t\r\n" }) {
-    for (const std::string& start : { kOk, busy }) {
-      TargetResult result = CallTarget(start + kOwn + it + kTwoBytes,
-                                       FaultyTarget::AfterLast::KeepOpen);
+    for (std::string_view start : { kOk, kBusy }) {
+      TargetResult result =
+        CallTarget(Join({ start, kOwn, it, kTwoBytes }), AfterLast::KeepOpen);
       CHECK(result.mOutcome == TargetOutcome::Broken);
     }
   }
-  TargetResult repeated = CallTarget(kOk + kOwn + kOwn + kTwoBytes,
-                                     FaultyTarget::AfterLast::KeepOpen);
+  TargetResult repeated =
+    CallTarget(Join({ kOk, kOwn, kOwn, kTwoBytes }), AfterLast::KeepOpen);
   CHECK(repeated.mOutcome == TargetOutcome::Answered);
 }
 
 TEST(AnswerFields, WithBlanksInTheirValuesArePassedOn)
 {
-  TargetResult result =
-    CallTarget(kOk + std::string(kOwn) + "X: \t a b\tc \r\n" + kTwoBytes,
-               FaultyTarget::AfterLast::KeepOpen);
+  TargetResult result = CallTarget(
+    Join({ kOk, kOwn, "X: \t a b\tc \r\n", kTwoBytes }), AfterLast::KeepOpen);
   CHECK(result.mOutcome == TargetOutcome::Answered);
   STRCMP_EQUAL("a b\tc", FindHeader(result.mAnswer->mHeaders, "X")->c_str());
 }
@@ -218,12 +230,14 @@
                           "chunked\r\nTransfer-Encoding: gzip",
                           "xchunked\r\nContent-Length: 12",
                           "chunked\r\nContent-Length: 12" }) {
-    std::string field = "Transfer-Encoding: " + std::string(it) + "\r\n";
-    CheckIsBroken(kOk + kOwn + field + "\r\n2\r\nok\r\n0\r\n\r\n");
+    CheckIsBroken(Join({ kOk,
+                         kOwn,
+                         "Transfer-Encoding: ",
+                         it,
+                         "\r\n\r\n2\r\nok\r\n0\r\n\r\n" }));
   }
   // HTTP/1.0 has no transfer codings.
-  CheckIsBroken("HTTP/1.0 200 OK\r\n" + std::string(kOwn) +
-                "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+  CheckIsBroken(Join({ "HTTP/1.0 200 OK\r\n", kOwn, kInChunks, "\r\n" }));
 }
 
 TEST(AnswerFramings, InChunksArePassedOn)
@@ -231,10 +245,14 @@
   for (const char* it :
        { "chunked", "CHUNKED", "\tChunked ", "chunked,", " , chunked" }) {
     for (const char* size : { "2", "02", "2;a", "2;a=b", "2;a=\"b\"" }) {
-      TargetResult result =
-        CallTarget(kOk + kOwn + "Transfer-Encoding: " + it + "\r\n\r\n" + size +
-                     "\r\nok\r\n0\r\n\r\n",
-                   FaultyTarget::AfterLast::KeepOpen);
+      TargetResult result = CallTarget(Join({ kOk,
+                                              kOwn,
+                                              "Transfer-Encoding: ",
+                                              it,
+                                              "\r\n\r\n",
+                                              size,
+                                              "\r\nok\r\n0\r\n\r\n" }),
+                                       AfterLast::KeepOpen);
       CHECK(result.mOutcome == TargetOutcome::Answered);
       STRCMP_EQUAL("ok", result.mAnswer->mBody.c_str());
     }
@@ -261,8 +279,11 @@
                           "3",
                           "10000000000000002",
                           "ffffffffffffffff" }) {
-    CheckIsBroken(kOk + kOwn + "Transfer-Encoding: chunked\r\n\r\n" + it +
-                  "\r\nok\r\n0\r\n\r\n");
+    CheckIsBroken(Join({ kOk,
+                         kOwn,
+                         "Transfer-Encoding: chunked\r\n\r\n",
+                         it,
+                         "\r\nok\r\n0\r\n\r\n" }));
   }
   for (const char* it : { "+2",
                           "-2",
@@ -276,7 +297,7 @@
                           "2a",
                           "18446744073709551618",
                           "2\r\nContent-Length: 3" }) {
-    CheckIsBroken(kOk + kOwn + "Content-Length: " + it + "\r\n\r\nok");
+    CheckIsBroken(Join({ kOk, kOwn, "Content-Length: ", it, "\r\n\r\nok" }));
   }
 }
 
@@ -284,12 +305,13 @@
 
 /** Returns the result of an answer in chunks with a trailer. */
 TargetResult
-CallWithTrailer(const std::string& aHead, const std::string& aTrailer)
+CallWithTrailer(std::string_view aStatusLine,
+                std::string_view aFields,
+                std::string_view aTrailer)
 {
-  return CallTarget(aHead +
-                      "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" +
-                      aTrailer + "\r\n\r\n",
-                    FaultyTarget::AfterLast::KeepOpen);
+  return CallTarget(
+    Join({ aStatusLine, aFields, kInChunks, aTrailer, "\r\n\r\n" }),
+    AfterLast::KeepOpen);
 }
 
 /** Guards against fields behind the body that were taken for fields of the
@@ -305,7 +327,7 @@
                           "Content-Encoding: gzip",
                           "Connection: Signature",
                           "X: 1" }) {
-    TargetResult result = CallWithTrailer(kOk + kOwn, it);
+    TargetResult result = CallWithTrailer(kOk, kOwn, it);
     CHECK(result.mOutcome == TargetOutcome::Answered);
     CHECK(!result.mStatements->mIsLeaving);
     CHECK(!result.mStatements->mRequestLimit);
@@ -320,12 +342,10 @@
 /** Guards against a promise or a signature that stands behind the body only. */
 TEST(AnswerTrailers, ProveNothing)
 {
-  std::string id = "Request-Id: request-1\r\n";
-  CHECK(CallWithTrailer(kOk + id, "Signature: s").mOutcome ==
+  CHECK(CallWithTrailer(kOk, kOwnId, "Signature: s").mOutcome ==
         TargetOutcome::Broken);
-  CHECK(
-    CallWithTrailer("HTTP/1.1 503 Busy\r\n" + id, "Not-Executed: 1").mOutcome ==
-    TargetOutcome::Broken);
+  CHECK(CallWithTrailer("HTTP/1.1 503 Busy\r\n", kOwnId, "Not-Executed: 1")
+          .mOutcome == TargetOutcome::Broken);
 }
 
 TEST_GROUP(LateAnswers){};
