--- a/src/HttpParser.cpp
+++ b/src/HttpParser.cpp
@@ -17,7 +17,8 @@
 constexpr unsigned kLastStatus = 599;
 /** Beast's number for HTTP/1.1. */
 constexpr unsigned kVersion11 = 11;
-/** The size of "0", two line ends behind it. */
+/** The shortest rest of a chunked body: a last chunk of "0" and an empty line.
+ */
 constexpr std::size_t kLeastChunkedBytes = 5;
 
 HttpProgress
@@ -235,8 +236,8 @@
     return total;
   }
 
-  /** Whether a complete head is one that the protocol allows, as far as Beast
-   * does not check it. */
+  /** Whether a complete head has a valid status and a body that can be read.
+   * Beast does not check these. */
   bool IsHeadAcceptable() const
   {
     unsigned status = mParser->get().result_int();
--- a/test/support/FaultyTarget.h
+++ b/test/support/FaultyTarget.h
@@ -49,9 +49,7 @@
   std::size_t mSentBytes = 0;
   std::size_t mConnections = 0;
 
-  /** Sends bytes on the connection that was made last. Precondition: it is
-   * open.
-   */
+  /** Sends bytes on the newest connection. Precondition: it is open. */
   void SendUnasked(const std::string& aBytes)
   {
     boost::asio::write(mNewest.lock()->mSocket, boost::asio::buffer(aBytes));
