Check API keys of client accounts and pass the account's name on

Documents have accounts with keys, priority, rate and burst now. Keys are held as keyed BLAKE2b digests. Requests without a known key get 401 unless their route is open; targets get the account's name in place of the key. Rates are not enforced yet.

--- a/src/CallerServer.cpp
+++ b/src/CallerServer.cpp
@@ -127,11 +127,11 @@
   send.mRequestName = it->second.mName;
   send.mTimeout = left;
   send.mIsIdempotent = aEffect.mIsIdempotent;
-  send.mMessage =
-    ForwardRequest(mAdapter.mCallers,
-                   mAdapter.mTargets,
-                   *it->second.mMessage,
-                   { aEffect.mTarget, mHooks.mNameRequest(id), left });
+  send.mMessage = ForwardRequest(
+    mAdapter.mCallers,
+    mAdapter.mTargets,
+    *it->second.mMessage,
+    { aEffect.mTarget, mHooks.mNameRequest(id), left, aEffect.mAccount });
   mTargets->Send(send, [this, id](const TargetResult& aResult) {
     mHooks.mPost(TargetRequestEnded{ id,
                                      aResult.mOutcome,
--- a/src/ConfigFold.cpp
+++ b/src/ConfigFold.cpp
@@ -1,5 +1,6 @@
 #include "ConfigFold.h"
 
+#include "DocumentAccounts.h"
 #include "Hash.h"
 
 #include <algorithm>
@@ -29,6 +30,9 @@
 bool
 Exists(const Document& aDocument, const ObjectChange& aObject)
 {
+  if (aObject.mType == "account") {
+    return aDocument.mAccounts.count(AccountName(aObject.mName)) > 0;
+  }
   return aObject.mType == "service"
            ? aDocument.mServices.count(ServiceName(aObject.mName)) > 0
            : aDocument.mRoutes.count(RouteName(aObject.mName)) > 0;
@@ -37,6 +41,9 @@
 LogOffset
 CurrentVersion(const Document& aDocument, const ObjectChange& aObject)
 {
+  if (aObject.mType == "account") {
+    return FindVersion<ClientAccount>(aDocument.mAccounts, aObject.mName);
+  }
   return aObject.mType == "service"
            ? FindVersion<Service>(aDocument.mServices, aObject.mName)
            : FindVersion<Route>(aDocument.mRoutes, aObject.mName);
@@ -57,6 +64,7 @@
 {
   std::vector<Replacement<Service>> mServices;
   std::vector<Replacement<Route>> mRoutes;
+  std::vector<Replacement<ClientAccount>> mAccounts;
 };
 
 /** Parses one object of a change and appends it to aInto. Returns the faults of
@@ -110,8 +118,11 @@
     } else if (it.mType == "route") {
       objectFaults = ParseReplacement<Route>(
         aDocument.mRoutes, it, aVersion, ParseRoute, aInto.mRoutes);
+    } else if (it.mType == "account") {
+      objectFaults = ParseReplacement<ClientAccount>(
+        aDocument.mAccounts, it, aVersion, ParseAccount, aInto.mAccounts);
     } else {
-      objectFaults = { { "/type", "must be service or route" } };
+      objectFaults = { { "/type", "must be service, route or account" } };
     }
     faults.insert(faults.end(), objectFaults.begin(), objectFaults.end());
   }
@@ -144,6 +155,9 @@
   for (const auto& it : aReplacements.mRoutes) {
     StoreOrErase(aDocument.mRoutes, it.mName, aIsNew ? it.mNew : it.mOld);
   }
+  for (const auto& it : aReplacements.mAccounts) {
+    StoreOrErase(aDocument.mAccounts, it.mName, aIsNew ? it.mNew : it.mOld);
+  }
 }
 
 /** Replaces the old routes of a change by the new ones in the route table or,
@@ -170,6 +184,30 @@
   return faults;
 }
 
+/** Does the same for the accounts in the index. Returns a fault for each added
+ * account that has a key of another one. */
+std::vector<DocumentFault>
+SwapAccounts(AccountIndex& aAccounts,
+             const Replacements& aReplacements,
+             bool aIsNew)
+{
+  std::vector<DocumentFault> faults;
+  for (const auto& it : aReplacements.mAccounts) {
+    const auto& removed = aIsNew ? it.mOld : it.mNew;
+    if (removed) {
+      aAccounts.Remove(*removed);
+    }
+  }
+  for (const auto& it : aReplacements.mAccounts) {
+    const auto& added = aIsNew ? it.mNew : it.mOld;
+    if (added && !aAccounts.Add(*added)) {
+      faults.push_back({ "/accounts/" + it.mName.mValue + "/keys",
+                         "have a key of another account" });
+    }
+  }
+  return faults;
+}
+
 /** Returns a fault for each route that refers to a service that the document
  * does not contain. Checks all routes if the change removes a service, and only
  * the changed routes otherwise, since no other reference can have become
@@ -239,10 +277,13 @@
   // resulting document is invalid.
   StoreReplacements(document, replacements, true);
   faults = SwapRoutes(aState.mRoutes, replacements, true);
+  auto shared = SwapAccounts(aState.mAccounts, replacements, true);
+  faults.insert(faults.end(), shared.begin(), shared.end());
   auto references = CheckChangedReferences(document, replacements);
   faults.insert(faults.end(), references.begin(), references.end());
   if (!faults.empty()) {
     SwapRoutes(aState.mRoutes, replacements, false);
+    SwapAccounts(aState.mAccounts, replacements, false);
     StoreReplacements(document, replacements, false);
     return ChangeInvalid{ std::move(faults) };
   }
@@ -335,6 +376,8 @@
     { "services",
       FormatObjects<Service>(aState.mDocument.mServices, FormatService) },
     { "routes", FormatObjects<Route>(aState.mDocument.mRoutes, FormatRoute) },
+    { "accounts",
+      FormatObjects<ClientAccount>(aState.mDocument.mAccounts, FormatAccount) },
     { "origins", std::move(origins) },
     { "ids", aState.mAcceptedIds }
   };
@@ -350,6 +393,13 @@
   ParseObjects<Service>(
     aJson.at("services"), ParseService, state.mDocument.mServices);
   ParseObjects<Route>(aJson.at("routes"), ParseRoute, state.mDocument.mRoutes);
+  // Checkpoints of older versions have no accounts.
+  ParseObjects<ClientAccount>(aJson.value("accounts", Json::array()),
+                              ParseAccount,
+                              state.mDocument.mAccounts);
+  for (const auto& [name, account] : state.mDocument.mAccounts) {
+    state.mAccounts.Add(account);
+  }
   for (const auto& it : aJson.at("origins").items()) {
     state.mLastModifications[it.key()] = {
       it.value().at("who").get<std::string>(),
@@ -412,6 +462,21 @@
   return name ? &aState.mDocument.mRoutes.at(*name) : nullptr;
 }
 
+const ClientAccount*
+FindAccount(const ConfigState& aState, std::string_view aApiKey)
+{
+  const AccountName* name = aState.mAccounts.FindByKey(
+    DigestKey(aState.mDocument.mEnvironment, aApiKey));
+  return name ? &aState.mDocument.mAccounts.at(*name) : nullptr;
+}
+
+const ClientAccount*
+FindAccountById(const ConfigState& aState, std::uint64_t aAccount)
+{
+  const AccountName* name = aState.mAccounts.FindById(aAccount);
+  return name ? &aState.mDocument.mAccounts.at(*name) : nullptr;
+}
+
 RecordVerdict
 FoldRecord(ConfigState& aState, const LogRecord& aRecord)
 {
@@ -511,6 +576,11 @@
                        changes);
   DiffObjects<Route>(
     aFrom.mDocument.mRoutes, aTo.mRoutes, "route", FormatRoute, changes);
+  DiffObjects<ClientAccount>(aFrom.mDocument.mAccounts,
+                             aTo.mAccounts,
+                             "account",
+                             FormatAccount,
+                             changes);
   return changes;
 }
 
--- a/src/ConfigFold.h
+++ b/src/ConfigFold.h
@@ -24,6 +24,8 @@
   Document mDocument;
   /** Index of the document's routes, updated together with the document. */
   RouteTable mRoutes;
+  /** Index of the document's accounts, updated together with the document. */
+  AccountIndex mAccounts;
   LogOffset mOffset = 0;
   /** Keyed by ObjectKey(). Entries of removed objects are kept. */
   std::map<std::string, ObjectModification> mLastModifications;
@@ -70,14 +72,14 @@
 /** The replacement, creation or removal of one object. */
 struct ObjectChange
 {
-  /** "service" or "route". */
+  /** "service", "route" or "account". */
   std::string mType;
   std::string mName;
   /** The version of the object that the change is based on; 0 if the object did
    * not exist. */
   LogOffset mBaseVersion = 0;
-  /** The new value as JSON in the form of FormatService() or FormatRoute();
-   * empty if the object is removed. */
+  /** The new value as JSON in the form of FormatService(), FormatRoute() or
+   * FormatAccount(); empty if the object is removed. */
   std::string mValue;
 };
 
@@ -94,7 +96,7 @@
 };
 
 /** Returns the key of an object in ConfigState::mLastModifications:
- * "service/NAME" or "route/NAME". Pure; any thread. */
+ * "service/NAME", "route/NAME" or "account/NAME". Pure; any thread. */
 std::string
 ObjectKey(const std::string& aType, const std::string& aName);
 
@@ -114,6 +116,14 @@
           std::string_view aPath,
           std::string_view aHost = {});
 
+/** Returns the account that holds an API key, or null. Pure. */
+const ClientAccount*
+FindAccount(const ConfigState& aState, std::string_view aApiKey);
+
+/** Returns the account with an id of AccountIdOf(), or null. Pure. */
+const ClientAccount*
+FindAccountById(const ConfigState& aState, std::uint64_t aAccount);
+
 /** Returns a change as the payload of a log record. Pure; any thread. */
 std::string
 FormatChange(const Change& aChange);
--- a/src/Dialects.cpp
+++ b/src/Dialects.cpp
@@ -1,5 +1,6 @@
 #include "Dialects.h"
 
+#include "DocumentLimits.h"
 #include "Hash.h"
 #include "ProxyVerdicts.h"
 
@@ -14,6 +15,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr const char* kAuthorization = "Authorization";
+constexpr std::string_view kBearer = "Bearer ";
 constexpr unsigned kStatusMisdirected = 421;
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kFirstSuccess = 200;
@@ -33,6 +36,27 @@
   return value ? *value : "";
 }
 
+/** Returns the API key of the Authorization header. Returns an empty text if
+ * there is none of the scheme Bearer, or if there are several headers: it can't
+ * be told which one counts. */
+std::string
+ApiKeyOf(const HttpRequest& aRequest)
+{
+  const std::string* value = nullptr;
+  for (const Header& it : aRequest.mHeaders) {
+    if (IsSameName(it.mName, kAuthorization)) {
+      if (value) {
+        return "";
+      }
+      value = &it.mValue;
+    }
+  }
+  bool isBearer =
+    value && value->size() <= kBearer.size() + kMaxApiKeyBytes &&
+    IsSameName(std::string_view(*value).substr(0, kBearer.size()), kBearer);
+  return isBearer ? value->substr(kBearer.size()) : "";
+}
+
 std::optional<Duration>
 DeadlineOf(const CallerDialect& aDialect, const HttpRequest& aRequest)
 {
@@ -197,6 +221,7 @@
   event.mHost = aDialect.mHasHosts ? ValueOf(aRequest, "Host") : "";
   event.mName = ValueOf(aRequest, aDialect.mRequestId);
   event.mAccount = ValueOf(aRequest, aDialect.mAccount);
+  event.mApiKey = ApiKeyOf(aRequest);
   event.mKey = ValueOf(aRequest, aDialect.mKey);
   event.mFingerprint =
     Hash64(aRequest.mMethod + " " + event.mHost + aRequest.mTarget,
@@ -218,11 +243,14 @@
   request.mTarget = aRequest.mTarget;
   request.mBody = aRequest.mBody;
   for (const Header& it : aRequest.mHeaders) {
-    bool isReplaced = IsSameName(it.mName, aCaller.mDeadlineMs) ||
-                      IsSameName(it.mName, aTarget.mDeadlineMs) ||
-                      IsSameName(it.mName, aTarget.mRequestName) ||
-                      IsSameName(it.mName, aTarget.mInstance) ||
-                      (!aTarget.mKeepsHost && IsSameName(it.mName, "Host"));
+    bool isReplaced =
+      IsSameName(it.mName, aCaller.mDeadlineMs) ||
+      IsSameName(it.mName, aTarget.mDeadlineMs) ||
+      IsSameName(it.mName, aTarget.mRequestName) ||
+      IsSameName(it.mName, aTarget.mInstance) ||
+      (!aTarget.mKeepsHost && IsSameName(it.mName, "Host")) ||
+      (aForwarding.mAccount && (IsSameName(it.mName, kAuthorization) ||
+                                IsSameName(it.mName, aTarget.mAccount)));
     if (!isReplaced && !IsHopByHop(aRequest.mHeaders, it.mName)) {
       request.mHeaders.push_back(it);
     }
@@ -240,6 +268,9 @@
   if (!instance.empty()) {
     add(aTarget.mInstance, std::move(instance));
   }
+  if (aForwarding.mAccount && !aForwarding.mAccount->mValue.empty()) {
+    add(aTarget.mAccount, aForwarding.mAccount->mValue);
+  }
   auto ms = std::chrono::duration_cast<milliseconds>(aForwarding.mTimeout);
   add(aTarget.mDeadlineMs,
       std::to_string(std::max<std::int64_t>(ms.count(), 1)));
@@ -337,6 +368,9 @@
   add("Content-Type", "application/json");
   add(aDialect.mOutcome, outcome);
   add(aDialect.mReason, verdict.mReason);
+  if (verdict.mStatus == kStatusUnauthorized) {
+    add("WWW-Authenticate", "Bearer");
+  }
   bool mayReturn = verdict.mStatus == kStatusUnavailable ||
                    verdict.mStatus == kStatusTooManyRequests;
   if (mayReturn) {
--- a/src/Dialects.h
+++ b/src/Dialects.h
@@ -6,6 +6,7 @@
 #include "NodeEvents.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace vanillascale {
@@ -17,6 +18,7 @@
   std::string mDeadlineMs = "Vanillascale-Deadline-Ms";
   /** The caller's own id of the request; sent back in answers. */
   std::string mRequestId;
+  /** States the account if the document has none. */
   std::string mAccount = "Vanillascale-Account";
   std::string mKey = "Idempotency-Key";
   std::string mFirstAttempt = "Vanillascale-First-Attempt";
@@ -38,6 +40,8 @@
   std::string mRequestId;
   /** Names the instance that alone may run the request. */
   std::string mInstance;
+  /** Names the account of the request's API key. */
+  std::string mAccount = "Vanillascale-Account";
   /** States that the target did not run the request. */
   std::string mNotRun = "Vanillascale-Outcome";
   /** The value that states it; empty accepts any. */
@@ -89,6 +93,9 @@
   /** The proxy's name for the request. */
   std::string mName;
   Duration mTimeout{ 0 };
+  /** See SendToTarget: if set, no API key is passed on, and no account that the
+   * caller states. */
+  std::optional<AccountName> mAccount{};
 };
 
 /** The request as it goes to a target. Pure. */
--- a/src/Document.cpp
+++ b/src/Document.cpp
@@ -1,11 +1,11 @@
 #include "Document.h"
 
+#include "DocumentAccounts.h"
 #include "DocumentLimits.h"
+#include "ObjectReader.h"
 
 #include <limits>
 #include <nlohmann/json.hpp>
-#include <optional>
-#include <set>
 #include <tuple>
 
 namespace vanillascale {
@@ -15,144 +15,6 @@
 using Json = nlohmann::json;
 using Faults = std::vector<DocumentFault>;
 
-/** Reads the members of a JSON object and records every fault.
- *
- * A member with a fault is read as an empty, minimum or default value, so that
- * reading continues and all faults of a document are reported together. */
-class ObjectReader
-{
-public:
-  ObjectReader(const Json& aObject, std::string aPointer, Faults& aFaults)
-    : mObject(aObject)
-    , mPointer(std::move(aPointer))
-    , mFaults(aFaults)
-  {
-    if (!mObject.is_object()) {
-      AddFault("", "must be an object");
-    }
-  }
-
-  /** Returns a required member that is a string of 1 to aMaxLength bytes. */
-  std::string ReadString(const char* aMember,
-                         std::size_t aMaxLength = kMaxNameLength)
-  {
-    const Json* value = FindMember(aMember, true);
-    if (!value) {
-      return {};
-    }
-    if (!value->is_string() || value->get_ref<const std::string&>().empty() ||
-        value->get_ref<const std::string&>().size() > aMaxLength) {
-      AddFault(aMember,
-               "must be a string of 1 to " + std::to_string(aMaxLength) +
-                 " characters");
-      return {};
-    }
-    return value->get<std::string>();
-  }
-
-  /** Returns an optional string member; an empty string if it is missing. */
-  std::string ReadOptionalString(const char* aMember,
-                                 std::size_t aMaxLength = kMaxNameLength)
-  {
-    return FindMember(aMember, false) ? ReadString(aMember, aMaxLength)
-                                      : std::string();
-  }
-
-  /** Returns an optional array member; null if it is missing or not an array.
-   */
-  const Json* ReadOptionalArray(const char* aMember)
-  {
-    const Json* value = FindMember(aMember, false);
-    if (value && !value->is_array()) {
-      AddFault(aMember, "must be an array");
-      return nullptr;
-    }
-    return value;
-  }
-
-  /** Returns an integer member from aMin to aMax; required if there is no
-   * default. */
-  unsigned ReadUnsigned(const char* aMember,
-                        unsigned aMin,
-                        unsigned aMax,
-                        std::optional<unsigned> aDefault)
-  {
-    const Json* value = FindMember(aMember, !aDefault);
-    if (!value) {
-      return aDefault.value_or(aMin);
-    }
-    bool isInRange = value->is_number_unsigned() &&
-                     value->get<std::uint64_t>() >= aMin &&
-                     value->get<std::uint64_t>() <= aMax;
-    if (!isInRange) {
-      AddFault(aMember,
-               "must be an integer from " + std::to_string(aMin) + " to " +
-                 std::to_string(aMax) + ", is " + value->dump());
-      return aMin;
-    }
-    return value->get<unsigned>();
-  }
-
-  /** Returns an optional boolean member; aDefault if it is missing. */
-  bool ReadBool(const char* aMember, bool aDefault)
-  {
-    const Json* value = FindMember(aMember, false);
-    if (!value) {
-      return aDefault;
-    }
-    if (!value->is_boolean()) {
-      AddFault(aMember, "must be true or false, is " + value->dump());
-      return aDefault;
-    }
-    return value->get<bool>();
-  }
-
-  /** Records a fault of a member, or of the object itself if aMember is empty.
-   */
-  void AddFault(const std::string& aMember, std::string aProblem)
-  {
-    std::string pointer = aMember.empty() ? mPointer : mPointer + "/" + aMember;
-    mFaults.push_back({ std::move(pointer), std::move(aProblem) });
-  }
-
-  /** Records a fault for each member that no call has read. */
-  void RejectUnknownMembers()
-  {
-    if (!mObject.is_object()) {
-      return;
-    }
-    for (const auto& it : mObject.items()) {
-      if (mKnownMembers.count(it.key()) == 0) {
-        AddFault(it.key(), "is not a known member");
-      }
-    }
-  }
-
-private:
-  /** Returns a member and marks its name as known; null if it is missing, which
-   * is a fault if aRequired is set. */
-  const Json* FindMember(const char* aMember, bool aRequired)
-  {
-    mKnownMembers.insert(aMember);
-    if (!mObject.is_object()) {
-      return nullptr;
-    }
-    auto it = mObject.find(aMember);
-    if (it != mObject.end()) {
-      return &*it;
-    }
-    if (aRequired) {
-      AddFault(aMember, "is missing");
-    }
-    return nullptr;
-  }
-
-  const Json& mObject;
-  std::string mPointer;
-  Faults& mFaults;
-  std::set<std::string> mKnownMembers;
-};
-
 /** Reads one entry of the member "services". */
 Service
 ReadService(const Json& aObject, const std::string& aPointer, Faults& aFaults)
@@ -254,6 +116,7 @@
     reader.ReadUnsigned("goalMs", 0, kMaxDeadlineMs, 0U));
   route.mAttempts =
     reader.ReadUnsigned("attempts", 1, kMaxAttempts, kDefaultAttempts);
+  route.mIsOpen = reader.ReadBool("open", false);
   reader.RejectUnknownMembers();
   return route;
 }
@@ -342,6 +205,8 @@
           "matches the same requests as route \"" + it->second.mValue + "\"" });
     }
   }
+  auto accountFaults = CheckKeysAreUnique(aDocument.mAccounts);
+  faults.insert(faults.end(), accountFaults.begin(), accountFaults.end());
   return faults;
 }
 
@@ -366,6 +231,7 @@
   rootMembers.erase("services");
   rootMembers.erase("routes");
   rootMembers.erase("limits");
+  rootMembers.erase("accounts");
   ObjectReader reader(rootMembers, "", faults);
   document.mEnvironment = reader.ReadString("environment");
   document.mRevision = reader.ReadUnsigned(
@@ -377,6 +243,14 @@
   ReadObjects<Service>(
     root, "services", ReadService, document.mServices, faults);
   ReadObjects<Route>(root, "routes", ReadRoute, document.mRoutes, faults);
+  if (root.contains("accounts")) {
+    auto readAccount =
+      [&](const Json& aObject, const std::string& aPointer, Faults& aFaults) {
+        return ReadAccount(aObject, document.mEnvironment, aPointer, aFaults);
+      };
+    ReadObjects<ClientAccount>(
+      root, "accounts", readAccount, document.mAccounts, faults);
+  }
   if (faults.empty()) {
     faults = CheckReferences(document);
   }
@@ -456,6 +330,9 @@
   if (aRoute.mAttempts != kDefaultAttempts) {
     json["attempts"] = aRoute.mAttempts;
   }
+  if (aRoute.mIsOpen) {
+    json["open"] = true;
+  }
   return json.dump();
 }
 
@@ -484,6 +361,9 @@
   for (const auto& [name, route] : aDocument.mRoutes) {
     json["routes"].push_back(Json::parse(FormatRoute(route)));
   }
+  for (const auto& [name, account] : aDocument.mAccounts) {
+    json["accounts"].push_back(Json::parse(FormatAccount(account)));
+  }
   return json.dump();
 }
 
--- a/src/Document.h
+++ b/src/Document.h
@@ -1,6 +1,7 @@
 #ifndef VANILLASCALE_DOCUMENT_H
 #define VANILLASCALE_DOCUMENT_H
 
+#include "ClientAccounts.h"
 #include "Clock.h"
 #include "Ids.h"
 #include "MsgpackTypes.h"
@@ -105,6 +106,9 @@
   Duration mGoal{ 0 };
   /** The maximum number of targets to which one request is sent. */
   unsigned mAttempts = 3;
+  /** Whether its requests need no API key although the document has accounts.
+   */
+  bool mIsOpen = false;
   /** The log offset of the change that last replaced this object; 0 if no
    * change has replaced it. */
   LogOffset mVersion = 0;
@@ -122,7 +126,8 @@
                  mIsDeadlineUpperBound,
                  mGoal,
                  mAttempts,
-                 mVersion)
+                 mVersion,
+                 mIsOpen)
 };
 
 /** Limits on the requests and connections of callers. */
@@ -150,6 +155,8 @@
   std::optional<CallerLimits> mLimits;
   std::map<ServiceName, Service> mServices;
   std::map<RouteName, Route> mRoutes;
+  /** Empty if callers need no API keys. */
+  std::map<AccountName, ClientAccount> mAccounts;
 };
 
 /** A validation fault of a document. */
@@ -176,8 +183,8 @@
 ParseDocument(const std::string& aText);
 
 /** Checks the references between objects: every route names services of the
- * document, and no two routes match the same requests. Returns all faults. Pure
- * and safe to call from any thread. */
+ * document, no two routes match the same requests, and no two accounts have the
+ * same key. Returns all faults. Pure and safe to call from any thread. */
 std::vector<DocumentFault>
 CheckReferences(const Document& aDocument);
 
--- a/src/DocumentChecks.cpp
+++ b/src/DocumentChecks.cpp
@@ -1,5 +1,6 @@
 #include "DocumentChecks.h"
 
+#include "DocumentAccounts.h"
 #include "DocumentLimits.h"
 
 #include <algorithm>
@@ -143,6 +144,10 @@
   for (const auto& [name, route] : aDocument.mRoutes) {
     CheckRoute(route, faults);
   }
+  for (const auto& [name, account] : aDocument.mAccounts) {
+    Faults accountFaults = CheckAccount(account);
+    faults.insert(faults.end(), accountFaults.begin(), accountFaults.end());
+  }
   return faults.empty() ? CheckReferences(aDocument) : faults;
 }
 
--- a/src/DocumentEntries.cpp
+++ b/src/DocumentEntries.cpp
@@ -11,6 +11,7 @@
 constexpr const char* kHeadKey = "head";
 constexpr const char* kServiceType = "service";
 constexpr const char* kRouteType = "route";
+constexpr const char* kAccountType = "account";
 
 /** The part of a document that is not an object with a name. */
 struct DocumentHead
@@ -96,6 +97,27 @@
   }
 }
 
+void
+UpdateAccounts(ConfigState& aState,
+               const ObjectUpdates<ClientAccount>& aUpdates)
+{
+  auto& accounts = aState.mDocument.mAccounts;
+  // As with routes: a key may have moved from one account to another.
+  for (const auto& [name, account] : aUpdates) {
+    auto old = accounts.find(name);
+    if (old != accounts.end()) {
+      aState.mAccounts.Remove(old->second);
+      accounts.erase(old);
+    }
+  }
+  for (const auto& [name, account] : aUpdates) {
+    if (account) {
+      aState.mAccounts.Add(*account);
+      accounts.emplace(name, *account);
+    }
+  }
+}
+
 } // namespace
 
 std::vector<FeedEntry>
@@ -107,7 +129,8 @@
   head.mHasLimits = aDocument.mLimits.has_value();
   head.mLimits = aDocument.mLimits.value_or(CallerLimits());
   std::vector<FeedEntry> entries;
-  entries.reserve(1 + aDocument.mServices.size() + aDocument.mRoutes.size());
+  entries.reserve(1 + aDocument.mServices.size() + aDocument.mRoutes.size() +
+                  aDocument.mAccounts.size());
   entries.push_back({ kHeadKey, aOffset, Pack(head) });
   for (const auto& [name, service] : aDocument.mServices) {
     entries.push_back(
@@ -117,6 +140,10 @@
     entries.push_back(
       { ObjectKey(kRouteType, name.mValue), aOffset, Pack(route) });
   }
+  for (const auto& [name, account] : aDocument.mAccounts) {
+    entries.push_back(
+      { ObjectKey(kAccountType, name.mValue), aOffset, Pack(account) });
+  }
   return entries;
 }
 
@@ -131,11 +158,14 @@
                 : Unpack<DocumentHead>(entry->second.mValue);
   ObjectUpdates<Service> services;
   ObjectUpdates<Route> routes;
+  ObjectUpdates<ClientAccount> accounts;
   bool isDecoded = head.has_value();
   for (const std::string& it : aChangedKeys) {
-    isDecoded = isDecoded &&
-                DecodeObject<Service>(aEntries, it, kServiceType, services) &&
-                DecodeObject<Route>(aEntries, it, kRouteType, routes);
+    isDecoded =
+      isDecoded &&
+      DecodeObject<Service>(aEntries, it, kServiceType, services) &&
+      DecodeObject<Route>(aEntries, it, kRouteType, routes) &&
+      DecodeObject<ClientAccount>(aEntries, it, kAccountType, accounts);
   }
   if (!isDecoded) {
     return DocumentUpdate::Undecodable;
@@ -161,6 +191,7 @@
     }
   }
   UpdateRoutes(aState, routes);
+  UpdateAccounts(aState, accounts);
   aState.mOffset = offset;
   return DocumentUpdate::InForce;
 }
--- a/src/DocumentLimits.h
+++ b/src/DocumentLimits.h
@@ -14,6 +14,12 @@
 inline constexpr unsigned kMaxRetryBurst = 10000;
 /** In requests per second. */
 inline constexpr unsigned kMaxAccountLimit = 1000000;
+/** The maximum rate and burst of a client account, in requests per second and
+ * requests. */
+inline constexpr double kMaxAccountRate = 1e9;
+/** Maximum length of an API key, in bytes, and number of keys of an account. */
+inline constexpr std::size_t kMaxApiKeyBytes = 4096;
+inline constexpr std::size_t kMaxApiKeys = 1000;
 /** Bounds of deadlines and of the time limits for callers. */
 inline constexpr unsigned kMinDeadlineMs = 10;
 inline constexpr unsigned kMaxDeadlineMs = 600000;
--- a/src/Effects.h
+++ b/src/Effects.h
@@ -4,6 +4,7 @@
 #include "Messages.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -46,6 +47,9 @@
   /** False for requests that must not run twice. They must not use a connection
    * on which the client library resends a request by itself. */
   bool mIsIdempotent = true;
+  /** Set if the document has accounts: the name that the target is told, or an
+   * empty one for a request without a key. */
+  std::optional<AccountName> mAccount;
 };
 
 /** Tells a target to cancel a request that was sent to it. */
--- a/src/Ids.h
+++ b/src/Ids.h
@@ -52,6 +52,8 @@
 using ServiceName = Id<struct ServiceKind>;
 /** A route in the document. */
 using RouteName = Id<struct RouteKind>;
+/** A client account in the document. */
+using AccountName = Id<struct AccountKind>;
 /** An idempotency key set by a caller (a UUIDv7 in text form). */
 using RequestKey = Id<struct RequestKeyKind>;
 
--- a/src/LeaseQueue.h
+++ b/src/LeaseQueue.h
@@ -1,6 +1,7 @@
 #ifndef VANILLASCALE_LEASEQUEUE_H
 #define VANILLASCALE_LEASEQUEUE_H
 
+#include "DocumentLimits.h"
 #include "Messages.h"
 
 #include <array>
@@ -34,9 +35,10 @@
   bool operator<(const QueueKey& aOther) const;
 };
 
-/** The highest priority that the document allows, plus one. Priority 1 is the
- * first to be served, and 0 is unused. */
-constexpr std::size_t kPriorityLevels = 10;
+/** The lowest priority of a request, plus one. Priority 1 is the first to be
+ * served, and 0 is unused. The priority of an account goes before that of a
+ * route, so that there are as many levels as pairs of both. */
+constexpr std::size_t kPriorityLevels = kMaxPriority * kMaxPriority + 1;
 
 /** The requests that wait for the slots of one service. */
 struct LeaseQueue
--- a/src/NodeEvents.h
+++ b/src/NodeEvents.h
@@ -28,7 +28,13 @@
   std::string mHost;
   /** Request id chosen by the caller, written to the log. */
   std::string mName;
+  /** The account that the caller states; not used if the document has accounts.
+   */
   std::string mAccount;
+  /** The API key that the caller sent; empty if it sent none, or several. Must
+   * not be logged. */
+  std::string mApiKey;
+  /** The idempotency key. */
   std::string mKey;
   /** Hash of method, host, path and body. */
   std::uint64_t mFingerprint = 0;
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -169,7 +169,8 @@
   ++aState.mCounters.mRequests;
   const Route* route = FindRoute(
     aContext.mConfig, aRequest.mMethod, aRequest.mPath, aRequest.mHost);
-  if (auto verdict = CheckRequest(aContext, aRequest, route)) {
+  const ClientAccount* account = AuthenticateRequest(aContext, aRequest);
+  if (auto verdict = CheckRequest(aContext, aRequest, route, account)) {
     CountOutcome(aState, verdict->mOutcome);
     LogRefusal(aContext, aRequest, *verdict);
     aContext.mEffects.push_back(
@@ -178,7 +179,8 @@
   }
   ProxyRequest& request =
     aState.mRequests
-      .emplace(aRequest.mRequest, MakeRequest(aContext, aRequest, *route))
+      .emplace(aRequest.mRequest,
+               MakeRequest(aContext, aRequest, *route, account))
       .first->second;
   request.mPeerId = ToPeerRequestId(aState.mIncarnation, aRequest.mRequest);
   if (!route->mShares.empty()) {
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -58,8 +58,10 @@
   RequestKey mKey;
   /** Hash of method, host, path and body. */
   std::uint64_t mFingerprint = 0;
-  /** Hash of the client account; 0 where the request names none. */
+  /** Id of the client account; 0 where the request has none. */
   std::uint64_t mAccount = 0;
+  /** See SendToTarget. */
+  std::optional<AccountName> mAccountName;
   TimePoint mDeadlineAt{};
   RequestStage mStage = RequestStage::AwaitingLease;
   /** The node that was sent the current stage's last message, and the time of
--- a/src/ProxyAdmission.cpp
+++ b/src/ProxyAdmission.cpp
@@ -1,5 +1,6 @@
 #include "ProxyAdmission.h"
 
+#include "DocumentLimits.h"
 #include "Hash.h"
 #include "ProxyVerdicts.h"
 #include "RequestKeys.h"
@@ -87,12 +88,50 @@
   return true;
 }
 
+/** Returns the priority of a request: that of the account goes before that of
+ * the route. */
+std::uint8_t
+PriorityOf(const Route& aRoute, const ClientAccount* aAccount)
+{
+  unsigned account = aAccount ? aAccount->mPriority - 1 : 0;
+  return static_cast<std::uint8_t>(account * kMaxPriority + aRoute.mPriority);
+}
+
+bool
+HasAccounts(const ProxyContext& aContext)
+{
+  return !aContext.mConfig.mDocument.mAccounts.empty();
+}
+
+/** Returns the id of a request's account, 0 for none. Only a document without
+ * accounts lets callers state their accounts themselves. */
+std::uint64_t
+AccountOf(const ProxyContext& aContext,
+          const CallerRequest& aRequest,
+          const ClientAccount* aAccount)
+{
+  if (aAccount) {
+    return AccountIdOf(aAccount->mName);
+  }
+  bool isStated = !HasAccounts(aContext) && !aRequest.mAccount.empty();
+  return isStated ? AccountIdOf(AccountName(aRequest.mAccount)) : 0;
+}
+
 } // namespace
 
+const ClientAccount*
+AuthenticateRequest(const ProxyContext& aContext, const CallerRequest& aRequest)
+{
+  return aRequest.mApiKey.empty() || !HasAccounts(aContext)
+           ? nullptr
+           : FindAccount(aContext.mConfig, aRequest.mApiKey);
+}
+
 std::optional<Verdict>
 CheckRequest(const ProxyContext& aContext,
              const CallerRequest& aRequest,
-             const Route* aRoute)
+             const Route* aRoute,
+             const ClientAccount* aAccount)
 {
   RunOutcome outcome = OutcomeBeforeIntent(aRequest);
   if (aContext.mConfig.mDocument.mEnvironment.empty()) {
@@ -104,6 +143,9 @@
   if (!aRoute) {
     return Verdict{ kStatusNotFound, outcome, kReasonUnknownRoute };
   }
+  if (HasAccounts(aContext) && !aAccount && !aRoute->mIsOpen) {
+    return Verdict{ kStatusUnauthorized, outcome, kReasonUnknownApiKey };
+  }
   if (aRequest.mDeadline && *aRequest.mDeadline <= Duration(0)) {
     return Verdict{ kStatusBadRequest, outcome, kReasonBadDeadline };
   }
@@ -113,7 +155,8 @@
 ProxyRequest
 MakeRequest(const ProxyContext& aContext,
             const CallerRequest& aRequest,
-            const Route& aRoute)
+            const Route& aRoute,
+            const ClientAccount* aAccount)
 {
   ProxyRequest request;
   request.mId = aRequest.mRequest;
@@ -121,7 +164,7 @@
   request.mRouteName = aRoute.mName;
   request.mService = aRoute.mService;
   request.mRoute = static_cast<std::uint32_t>(Hash64(aRoute.mName.mValue));
-  request.mPriority = static_cast<std::uint8_t>(aRoute.mPriority);
+  request.mPriority = PriorityOf(aRoute, aAccount);
   request.mIsLong = aRoute.mWorkClass == WorkClass::Long;
   request.mIsIdempotent = aRoute.mIdempotent;
   request.mNeedsIntent = NeedsKey(aRoute);
@@ -131,7 +174,10 @@
   request.mIsFirstAttempt = aRequest.mIsFirstAttempt;
   request.mKey = RequestKey(NeedsKey(aRoute) ? aRequest.mKey : "");
   request.mFingerprint = aRequest.mFingerprint;
-  request.mAccount = aRequest.mAccount.empty() ? 0 : Hash64(aRequest.mAccount);
+  request.mAccount = AccountOf(aContext, aRequest, aAccount);
+  if (HasAccounts(aContext)) {
+    request.mAccountName = aAccount ? aAccount->mName : AccountName();
+  }
   request.mDeadlineAt =
     std::min(aContext.mNow + DeadlineOf(aRequest, aRoute), aContext.mMustEndBy);
   request.mStageStartedAt = aContext.mNow;
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -375,8 +375,11 @@
   aState.mCounters.mRetries += aRequest.mIsRetry ? 1 : 0;
   RecordSent(aState.mSchedulerLinks.at(aRequest.mService).mLocalChoice,
              aTarget);
-  aContext.mEffects.push_back(SendToTarget{
-    aRequest.mId, aTarget, aRequest.mDeadlineAt, aRequest.mIsIdempotent });
+  aContext.mEffects.push_back(SendToTarget{ aRequest.mId,
+                                            aTarget,
+                                            aRequest.mDeadlineAt,
+                                            aRequest.mIsIdempotent,
+                                            aRequest.mAccountName });
 }
 
 void
--- a/src/ProxyLog.cpp
+++ b/src/ProxyLog.cpp
@@ -53,6 +53,8 @@
 {
   return "request=" + aRequest.mName + " route=" + aRequest.mRouteName.mValue +
          " service=" + aRequest.mService.mValue +
+         (aRequest.mAccountName ? " account=" + aRequest.mAccountName->mValue
+                                : std::string()) +
          " document=" + std::to_string(aContext.mConfig.mDocument.mRevision) +
          " age_ms=" + FormatMilliseconds(aContext.mNow - aRequest.mReceivedAt);
 }
--- a/src/ProxyVerdicts.h
+++ b/src/ProxyVerdicts.h
@@ -10,6 +10,7 @@
 constexpr const char* kReasonStarting = "starting";
 constexpr const char* kReasonStopping = "stopping";
 constexpr const char* kReasonUnknownRoute = "unknown-route";
+constexpr const char* kReasonUnknownApiKey = "unknown-api-key";
 constexpr const char* kReasonMissingIdempotencyKey = "missing-idempotency-key";
 constexpr const char* kReasonBadIdempotencyKey = "bad-idempotency-key";
 constexpr const char* kReasonKeyTooOld = "key-too-old";
@@ -36,6 +37,7 @@
 
 /** HTTP statuses of answers that the proxy itself generates. */
 constexpr unsigned kStatusBadRequest = 400;
+constexpr unsigned kStatusUnauthorized = 401;
 constexpr unsigned kStatusNotFound = 404;
 constexpr unsigned kStatusRequestTimeout = 408;
 constexpr unsigned kStatusConflict = 409;
