Test API keys, and correct five faults that the tests found

Cause: nothing tested accounts and keys. The tests found these faults: - A document with the number 1e309 ended the process: ParseDocument caught parse_error, and the JSON reader throws out_of_range for such numbers. - A header field of 64 KiB ended the process if the document's headBytes allows such heads: Beast throws length_error. - Fields of a request's trailer were taken for fields of its head: a key in a trailer was accepted, and trailers were passed on to targets as headers. - Account names could contain line breaks and blanks at their ends, which would add header lines to requests to targets and lines to the log. - The change stream refused each route with shares, since only mService was looked up (older than accounts). Also, a second tenant of the same name was dropped without a fault, and the number of keys of a translated account was not limited.

Change: ParseDocument reports numbers out of range; the parser reports HeadTooLarge and takes a request's head before its body is read, as for answers; account names must be usable as header values; duplicate tenants reject the configuration. Parsing no longer copies all objects of a document to look for unknown members.

Not changed: answers to keyed requests are remembered by key and fingerprint, without the account, so a caller of another account that knows the idempotency key and sends the same request gets the remembered answer. A request without a key for a path that no route matches gets 404, not 401. An empty list of accounts means that no request needs a key.

--- a/src/ConfigFold.cpp
+++ b/src/ConfigFold.cpp
@@ -218,10 +218,12 @@
 {
   std::vector<DocumentFault> faults;
   auto check = [&](const Route& aRoute) {
-    if (aDocument.mServices.count(aRoute.mService) == 0) {
-      faults.push_back({ "/routes/" + aRoute.mName.mValue + "/service",
-                         "names no service of the document: \"" +
-                           aRoute.mService.mValue + "\"" });
+    for (const ServiceName& it : ServicesOf(aRoute)) {
+      if (aDocument.mServices.count(it) == 0) {
+        faults.push_back(
+          { "/routes/" + aRoute.mName.mValue + "/service",
+            "names no service of the document: \"" + it.mValue + "\"" });
+      }
     }
   };
   bool removesService =
--- a/src/Document.cpp
+++ b/src/Document.cpp
@@ -221,17 +221,25 @@
     faults.push_back(
       { "/", "is not valid JSON near byte " + std::to_string(e.byte) });
     return tl::make_unexpected(std::move(faults));
+  } catch (const Json::out_of_range&) {
+    // Thrown for 1e309 and other numbers that no double can hold.
+    faults.push_back({ "/", "has a number that is out of range" });
+    return tl::make_unexpected(std::move(faults));
   }
   Document document;
   if (!root.is_object()) {
     faults.push_back({ "/", "must be an object" });
     return tl::make_unexpected(std::move(faults));
   }
-  Json rootMembers = root;
-  rootMembers.erase("services");
-  rootMembers.erase("routes");
-  rootMembers.erase("limits");
-  rootMembers.erase("accounts");
+  // Without a copy of the objects, of which there may be 900,000.
+  Json rootMembers = Json::object();
+  for (const auto& it : root.items()) {
+    bool isObjects = it.key() == "services" || it.key() == "routes" ||
+                     it.key() == "limits" || it.key() == "accounts";
+    if (!isObjects) {
+      rootMembers[it.key()] = it.value();
+    }
+  }
   ObjectReader reader(rootMembers, "", faults);
   document.mEnvironment = reader.ReadString("environment");
   document.mRevision = reader.ReadUnsigned(
--- a/src/DocumentAccounts.cpp
+++ b/src/DocumentAccounts.cpp
@@ -59,6 +59,9 @@
   ObjectReader reader(aObject, aPointer, aFaults);
   ClientAccount account;
   account.mName = AccountName(reader.ReadString("name"));
+  if (!IsHeaderText(account.mName.mValue)) {
+    reader.AddFault("name", kHeaderTextProblem);
+  }
   for (const std::string& it : ReadKeys(reader, "keys")) {
     account.mKeys.push_back(DigestKey(aEnvironment, it));
   }
@@ -125,6 +128,14 @@
                        "must be a string of 1 to " +
                          std::to_string(kMaxNameLength) + " characters" });
   }
+  if (!IsHeaderText(aAccount.mName.mValue)) {
+    faults.push_back({ pointer + "/name", kHeaderTextProblem });
+  }
+  if (aAccount.mKeys.size() > kMaxApiKeys) {
+    faults.push_back(
+      { pointer + "/keys",
+        "must have at most " + std::to_string(kMaxApiKeys) + " entries" });
+  }
   if (aAccount.mPriority < 1 || aAccount.mPriority > kMaxPriority) {
     faults.push_back({ pointer + "/priority",
                        "must be from 1 to " + std::to_string(kMaxPriority) });
--- a/src/DocumentLimits.h
+++ b/src/DocumentLimits.h
@@ -37,6 +37,25 @@
 inline constexpr const char* kPathProblem =
   "must start with a slash and have no empty segments";
 
+inline constexpr const char* kHeaderTextProblem =
+  "must have no control characters, and no blank at either end";
+
+/** Returns whether a text can be sent as the value of a header unchanged: it
+ * has no control characters and does not begin or end with a blank. Pure. */
+inline bool
+IsHeaderText(const std::string& aText)
+{
+  constexpr unsigned char kFirstPrintable = 0x20;
+  constexpr unsigned char kDelete = 0x7f;
+  for (char it : aText) {
+    auto byte = static_cast<unsigned char>(it);
+    if (byte < kFirstPrintable || byte == kDelete) {
+      return false;
+    }
+  }
+  return aText.empty() || (aText.front() != ' ' && aText.back() != ' ');
+}
+
 /** Returns whether a path is empty or starts with a slash and has no empty
  * segments. Pure. */
 inline bool
--- a/src/HttpParser.cpp
+++ b/src/HttpParser.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
+#include <stdexcept>
 
 namespace vanillascale {
 
@@ -47,6 +48,21 @@
          aBytes < kLeastChunkedBytes;
 }
 
+/** Feeds a Beast parser once. Beast throws where a field is longer than the 64
+ * KiB that it can store, which limits on heads above that allow. */
+template<typename Parser>
+std::size_t
+Put(Parser& aParser, std::string_view aBytes, error_code& aError)
+{
+  try {
+    return aParser.put(boost::asio::buffer(aBytes.data(), aBytes.size()),
+                       aError);
+  } catch (const std::length_error&) {
+    aError = http::error::header_limit;
+    return 0;
+  }
+}
+
 /** Feeds a Beast parser as long as it consumes anything, or until aIsReached
  * returns true. */
 template<typename Parser, typename Predicate>
@@ -59,8 +75,7 @@
   std::size_t total = 0;
   while (!aIsReached() && !MustWaitForMore(aParser, aBytes.size() - total)) {
     error_code ec;
-    std::size_t n = aParser.put(
-      boost::asio::buffer(aBytes.data() + total, aBytes.size() - total), ec);
+    std::size_t n = Put(aParser, aBytes.substr(total), ec);
     total += n;
     aProgress = ProgressOf(ec);
     bool isStuck = n == 0 || total == aBytes.size();
@@ -133,6 +148,19 @@
   http::request_parser<http::string_body> mParser;
   HttpProgress mProgress = HttpProgress::Incomplete;
   bool mHasBegun = false;
+  /** The head, once it is complete. */
+  HttpRequest mRequest;
+
+  /** Takes the fields out before Beast adds those of a trailer: a key or an
+   * account must not be taken from there (RFC 9110 section 6.5.1). */
+  void TakeHead()
+  {
+    const auto& head = mParser.get();
+    mRequest.mMethod = std::string(head.method_string());
+    mRequest.mTarget = std::string(head.target());
+    mRequest.mHeaders = HeadersOf(head);
+    mRequest.mKeepsAlive = head.keep_alive();
+  }
 };
 
 RequestParser::RequestParser(std::unique_ptr<Impl> aImpl)
@@ -146,7 +174,8 @@
 RequestParser::Make(const HttpLimits& aLimits)
 {
   auto impl = std::make_unique<Impl>();
-  impl->mParser.eager(true);
+  // Stops behind the head, whose fields are taken before the body is read.
+  impl->mParser.eager(false);
   impl->mParser.header_limit(static_cast<std::uint32_t>(aLimits.mHeadBytes));
   impl->mParser.body_limit(aLimits.mBodyBytes);
   return std::unique_ptr<RequestParser>(new RequestParser(std::move(impl)));
@@ -155,7 +184,19 @@
 std::size_t
 RequestParser::Feed(std::string_view aBytes)
 {
-  std::size_t n = FeedParser(mImpl->mParser, aBytes, mImpl->mProgress);
+  auto& parser = mImpl->mParser;
+  HttpProgress& progress = mImpl->mProgress;
+  std::size_t n = 0;
+  if (!parser.is_header_done()) {
+    n = FeedUntil(
+      parser, aBytes, progress, [&] { return parser.is_header_done(); });
+    if (parser.is_header_done()) {
+      mImpl->TakeHead();
+    }
+  }
+  if (progress == HttpProgress::Incomplete && parser.is_header_done()) {
+    n += FeedParser(parser, aBytes.substr(n), progress);
+  }
   mImpl->mHasBegun = mImpl->mHasBegun || !aBytes.empty();
   return n;
 }
@@ -185,13 +226,8 @@
 HttpRequest
 RequestParser::Take()
 {
-  auto message = mImpl->mParser.release();
-  HttpRequest request;
-  request.mMethod = std::string(message.method_string());
-  request.mTarget = std::string(message.target());
-  request.mHeaders = HeadersOf(message);
-  request.mKeepsAlive = message.keep_alive();
-  request.mBody = std::move(message.body());
+  HttpRequest request = std::move(mImpl->mRequest);
+  request.mBody = std::move(mImpl->mParser.get().body());
   return request;
 }
 
--- a/test/correctness/ConfigurationNeverRegresses.cpp
+++ b/test/correctness/ConfigurationNeverRegresses.cpp
@@ -1,5 +1,6 @@
 #include "../support/FleetHelpers.h"
 #include "../support/Properties.h"
+#include "DocumentAccounts.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -55,6 +56,56 @@
   return FormatCheckpoint(aState);
 }
 
+constexpr const char* kKey = "key-of-mado";
+constexpr const char* kOtherKey = "key-of-sumi";
+
+constexpr const char* kAccountDocument = R"({
+  "environment": "test",
+  "services": [ { "name": "ledger", "vmGroup": "ledger", "floorPercent": 60 } ],
+  "routes": [ { "name": "r", "service": "ledger", "path": "/", "priority": 1,
+                "deadlineMs": 2000 } ],
+  "accounts": [ { "name": "mado", "keys": [ "key-of-mado" ] },
+                { "name": "sumi", "keys": [ "key-of-sumi" ] } ] })";
+
+std::string
+Holder(const ConfigState& aState, const std::string& aKey)
+{
+  const ClientAccount* account = FindAccount(aState, aKey);
+  return account ? account->mName.mValue : "";
+}
+
+ObjectChange
+MakeAccountChange(const std::string& aName,
+                  LogOffset aBase,
+                  const std::vector<std::string>& aKeys)
+{
+  ClientAccount account;
+  account.mName = AccountName(aName);
+  for (const std::string& it : aKeys) {
+    account.mKeys.push_back(DigestKey("test", it));
+  }
+  return { "account", aName, aBase, FormatAccount(account) };
+}
+
+RecordVerdict
+Fold(ConfigState& aState, LogOffset aOffset, std::vector<ObjectChange> aObjects)
+{
+  Change change{
+    "change-" + std::to_string(aOffset), "test", "test", std::move(aObjects)
+  };
+  return FoldRecord(aState, { aOffset, kStartWallMs, FormatChange(change) });
+}
+
+ConfigState
+MakeFoldedState()
+{
+  ConfigState state;
+  FoldRecord(
+    state,
+    { 1, kStartWallMs, FormatChange(MakeChange(kAccountDocument, "first")) });
+  return state;
+}
+
 } // namespace
 
 TEST_GROUP(Configuration){};
@@ -227,3 +278,100 @@
     CHECK(!state || isSame);
   }
 }
+
+TEST(Configuration, KeysFollowTheChangeStream)
+{
+  ConfigState state = MakeFoldedState();
+  STRCMP_EQUAL("mado", Holder(state, kKey).c_str());
+  // A key is added, and one moves between two accounts that already exist.
+  auto verdict = Fold(state,
+                      2,
+                      { MakeAccountChange("mado", 1, { kKey, kOtherKey }),
+                        MakeAccountChange("sumi", 1, { "new" }) });
+  CHECK(std::holds_alternative<ChangeAccepted>(verdict));
+  STRCMP_EQUAL("mado", Holder(state, kOtherKey).c_str());
+  STRCMP_EQUAL("sumi", Holder(state, "new").c_str());
+  verdict = Fold(
+    state,
+    3,
+    { { "account", "sumi", 2, "" }, MakeAccountChange("kura", 0, { "new" }) });
+  CHECK(std::holds_alternative<ChangeAccepted>(verdict));
+  STRCMP_EQUAL("kura", Holder(state, "new").c_str());
+  // A record that arrives late changes nothing.
+  Fold(state, 2, { MakeAccountChange("mado", 1, { "late" }) });
+  STRCMP_EQUAL("", Holder(state, "late").c_str());
+  auto restored = ParseCheckpoint(FormatCheckpoint(state));
+  CHECK(restored.has_value());
+  for (const char* it : { kKey, kOtherKey, "new", "late" }) {
+    STRCMP_EQUAL(Holder(state, it).c_str(), Holder(*restored, it).c_str());
+  }
+}
+
+/** Guards against an index that a refused change leaves half applied. */
+TEST(Configuration, AChangeThatSharesAKeyIsRolledBack)
+{
+  ConfigState state = MakeFoldedState();
+  const std::vector<std::vector<ObjectChange>> refused{
+    // A key of an account that the change does not touch.
+    { MakeAccountChange("mado", 1, { "next", kOtherKey }) },
+    { MakeAccountChange("sumi", 1, { kKey }) },
+    // Two accounts of the change have the same key.
+    { MakeAccountChange("mado", 1, { "both" }),
+      MakeAccountChange("sumi", 1, { "both" }) },
+    { MakeAccountChange("kura", 0, { "new", kKey }),
+      { "account", "sumi", 1, "" } },
+    // The fault is in another object of the change.
+    { MakeAccountChange("mado", 1, { "next" }),
+      { "account", "sumi", 1, "" },
+      { "service", "ledger", 1, "" } },
+  };
+  LogOffset offset = 1;
+  for (const auto& it : refused) {
+    std::string before = FormatDocument(state.mDocument);
+    std::string text = std::to_string(++offset);
+    auto verdict = Fold(state, offset, it);
+    CHECK_TEXT(std::holds_alternative<ChangeInvalid>(verdict), text.c_str());
+    STRCMP_EQUAL(before.c_str(), FormatDocument(state.mDocument).c_str());
+    STRCMP_EQUAL("mado", Holder(state, kKey).c_str());
+    STRCMP_EQUAL("sumi", Holder(state, kOtherKey).c_str());
+    for (const char* key : { "next", "both", "new" }) {
+      STRCMP_EQUAL_TEXT("", Holder(state, key).c_str(), text.c_str());
+    }
+    CHECK(!FindAccountById(state, AccountIdOf(AccountName("kura"))));
+    CHECK(FindAccountById(state, AccountIdOf(AccountName("sumi"))) != nullptr);
+  }
+}
+
+/** A change of another tool that holds keys in plain text is refused, and its
+ * verdict does not repeat them. */
+TEST(Configuration, AChangeWithKeysInPlainTextIsRejected)
+{
+  ConfigState state = MakeFoldedState();
+  const std::string key = "k-of-fault-37";
+  auto verdict =
+    Fold(state,
+         2,
+         { { "account",
+             "a",
+             0,
+             R"({ "name": "a", "keys": [ ")" + key + R"(" ] })" } });
+  CHECK(std::holds_alternative<ChangeInvalid>(verdict));
+  CHECK(DescribeVerdict(verdict).find(key) == std::string::npos);
+  STRCMP_EQUAL("", Holder(state, key).c_str());
+}
+
+/** Guards against a check of changes that knows routes with one service only
+ * and refuses those with shares. */
+TEST(Configuration, RoutesWithSharesAreAccepted)
+{
+  ConfigState state = MakeSmallState();
+  Route route = *FindRoute(state, "GET", "/balance");
+  route.mShares = { { ServiceName("ledger"), 3 } };
+  route.mService = ServiceName();
+  auto verdict =
+    Fold(state, 2, { { "route", "balance", 1, FormatRoute(route) } });
+  CHECK(std::holds_alternative<ChangeAccepted>(verdict));
+  route.mShares[0].mService = ServiceName("unknown");
+  verdict = Fold(state, 3, { { "route", "balance", 2, FormatRoute(route) } });
+  CHECK(std::holds_alternative<ChangeInvalid>(verdict));
+}
--- a/test/correctness/DocumentsAreChecked.cpp
+++ b/test/correctness/DocumentsAreChecked.cpp
@@ -1,7 +1,9 @@
 #include "DocumentChecks.h"
 
+#include <cmath>
 #include <fstream>
 #include <functional>
+#include <limits>
 #include <sstream>
 
 #include <CppUTest/TestHarness.h>
@@ -31,6 +33,9 @@
     LONGS_EQUAL(2, document->mServices.size());
     LONGS_EQUAL(5, document->mRoutes.size());
   }
+  auto accounts = ParseDocument(ReadFile("examples/accounts.json"));
+  CHECK(accounts.has_value());
+  LONGS_EQUAL(3, accounts->mAccounts.size());
 }
 
 TEST(Documents, FormattedObjectsParseBack)
@@ -142,3 +147,94 @@
     CHECK_TEXT(!CheckDocument(document).empty(), index.c_str());
   }
 }
+
+/** Guards against a document of which a part is put in force, against keys that
+ * two accounts share, and against numbers that JSON texts can hold but a quota
+ * cannot: the reader of JSON ends the process at 1e309 where it is not caught.
+ */
+TEST(Documents, WithInvalidAccountsAreRejectedWhole)
+{
+  auto withAccounts = [](const std::string& aAccounts) {
+    return R"({ "environment": "test", "services": [], "routes": [],
+      "accounts": )" +
+           aAccounts + " }";
+  };
+  CHECK(ParseDocument(
+          withAccounts(
+            R"([ { "name": "a", "keys": [ "k1" ], "priority": 9, "rate": 0.5,
+           "burst": 1e9 }, { "name": "b" } ])"))
+          .has_value());
+  const std::string oversized(4097, 'k');
+  const std::vector<std::pair<std::string, std::string>> faults{
+    { "/accounts/b/keys",
+      R"([ { "name": "a", "keys": [ "k" ] },
+           { "name": "b", "keys": [ "j", "k" ] } ])" },
+    { "/accounts/0/keys/1", R"([ { "name": "a", "keys": [ "k", "" ] } ])" },
+    { "/accounts/0/keys/0",
+      R"([ { "name": "a", "keys": [ ")" + oversized + R"(" ] } ])" },
+    { "/accounts/0/keys/0", R"([ { "name": "a", "keys": [ 7 ] } ])" },
+    { "/accounts/0/keys", R"([ { "name": "a", "keys": "k" } ])" },
+    { "/accounts/0/rate", R"([ { "name": "a", "rate": -1 } ])" },
+    { "/accounts/0/rate", R"([ { "name": "a", "rate": -1e-300 } ])" },
+    { "/accounts/0/rate", R"([ { "name": "a", "rate": "NaN" } ])" },
+    { "/accounts/0/rate", R"([ { "name": "a", "rate": null } ])" },
+    { "/accounts/0/rate", R"([ { "name": "a", "rate": 1e10 } ])" },
+    { "/accounts/0/burst", R"([ { "name": "a", "burst": -0.5 } ])" },
+    { "/accounts/0/priority", R"([ { "name": "a", "priority": 0 } ])" },
+    { "/accounts/0/priority", R"([ { "name": "a", "priority": 10 } ])" },
+    { "/accounts/1/name", R"([ { "name": "a" }, { "name": "a" } ])" },
+    { "/accounts/0/name", R"([ { "name": "" } ])" },
+    { "/accounts/0/name", R"([ { "name": "a\r\nX-Admin: 1" } ])" },
+    { "/accounts/0/name", R"([ { "name": " a" } ])" },
+    { "/accounts/0/quota", R"([ { "name": "a", "quota": 1 } ])" },
+    { "/accounts", R"({ "name": "a" })" },
+    { "/", R"([ { "name": "a", "rate": 1e309 } ])" },
+    { "/", R"([ { "name": "a", "rate": -1e309 } ])" },
+    { "/", R"([ { "name": "a", "rate": NaN } ])" },
+  };
+  for (const auto& [pointer, accounts] : faults) {
+    std::string label = accounts.substr(0, 100);
+    auto document = ParseDocument(withAccounts(accounts));
+    CHECK_TEXT(!document, label.c_str());
+    LONGS_EQUAL_TEXT(1, document.error().size(), label.c_str());
+    STRCMP_EQUAL(pointer.c_str(), document.error()[0].mPointer.c_str());
+  }
+}
+
+TEST(Documents, AccountsAreCheckedAlikeWhetherParsedOrTranslated)
+{
+  Document valid = *ParseDocument(ReadFile("examples/kitakaze.json"));
+  ClientAccount account;
+  account.mName = AccountName("a");
+  account.mKeys = { DigestKey("kitakaze", "k") };
+  valid.mAccounts[account.mName] = account;
+  CHECK(CheckDocument(valid).empty());
+  CHECK(ParseDocument(FormatDocument(valid)).has_value());
+  constexpr double kInfinity = std::numeric_limits<double>::infinity();
+  const std::vector<std::function<void(ClientAccount&)>> changes{
+    [](ClientAccount& aAccount) { aAccount.mRate = -1; },
+    [](ClientAccount& aAccount) { aAccount.mRate = std::nan(""); },
+    [](ClientAccount& aAccount) { aAccount.mRate = kInfinity; },
+    [](ClientAccount& aAccount) { aAccount.mBurst = -1; },
+    [](ClientAccount& aAccount) { aAccount.mBurst = std::nan(""); },
+    [](ClientAccount& aAccount) { aAccount.mBurst = kInfinity; },
+    [](ClientAccount& aAccount) { aAccount.mPriority = 0; },
+    [](ClientAccount& aAccount) { aAccount.mPriority = 10; },
+    [](ClientAccount& aAccount) { aAccount.mKeys.resize(1001); },
+    [](ClientAccount& aAccount) { aAccount.mName = AccountName(); },
+    [](ClientAccount& aAccount) {
+      aAccount.mName = AccountName(std::string(65, 'n'));
+    },
+    [](ClientAccount& aAccount) { aAccount.mName = AccountName("a\nb"); },
+    [](ClientAccount& aAccount) { aAccount.mName = AccountName("a "); },
+  };
+  for (std::size_t i = 0; i < changes.size(); ++i) {
+    Document document = valid;
+    changes[i](document.mAccounts.begin()->second);
+    CHECK_TEXT(!CheckDocument(document).empty(), std::to_string(i).c_str());
+  }
+  Document shared = valid;
+  account.mName = AccountName("b");
+  shared.mAccounts[account.mName] = account;
+  LONGS_EQUAL(1, CheckDocument(shared).size());
+}
--- a/test/correctness/StoreIsTranslated.cpp
+++ b/test/correctness/StoreIsTranslated.cpp
@@ -1,3 +1,4 @@
+#include "DocumentChecks.h"
 #include "DocumentEntries.h"
 #include "StoreFormat.h"
 
@@ -294,3 +295,81 @@
     LONGS_EQUAL(defaults.mRetryBurst, settings.mRetryBurst);
   }
 }
+
+namespace {
+
+/** Returns a configuration with one more resource, a tenant. */
+std::string
+WithTenant(const std::string& aName, const std::string& aSpec)
+{
+  return ReplaceFirst(kConfig,
+                      R"({"type":"limits")",
+                      R"({"type":"tenants","metadata":{"name":")" + aName +
+                        R"("},"spec":)" + aSpec + R"(},{"type":"limits")");
+}
+
+/** Returns whether nodes put a configuration in force: it can be translated
+ * and the document has no faults. */
+bool
+IsAccepted(const std::string& aConfig)
+{
+  auto document = TranslateConfig(aConfig, "production", {});
+  return document && CheckDocument(*document).empty();
+}
+
+} // namespace
+
+TEST(Store, TenantsAreTranslatedToAccounts)
+{
+  std::string text = WithTenant(
+    "t-1",
+    R"({"api_keys":["k-1","k-2"],"priority":2,"rate_per_s":7.5,"burst":4})");
+  text = ReplaceFirst(text, R"("kind":"safe")", R"("kind":"download")");
+  text = ReplaceFirst(
+    text, R"("kind":"unsafe")", R"("kind":"unsafe","no_auth":true)");
+  auto document = TranslateConfig(text, "production", {});
+  CHECK(document.has_value());
+  const ClientAccount& account = document->mAccounts.at(AccountName("t-1"));
+  LONGS_EQUAL(2, account.mKeys.size());
+  CHECK(account.mKeys[0] == DigestKey("production", "k-1"));
+  LONGS_EQUAL(3, account.mPriority);
+  DOUBLES_EQUAL(7.5, account.mRate, 0);
+  DOUBLES_EQUAL(4, account.mBurst, 0);
+  CHECK(document->mRoutes.at(RouteName("r-1")).mIsOpen);
+  CHECK(!document->mRoutes.at(RouteName("r-2")).mIsOpen);
+  CHECK(document->mRoutes.at(RouteName("r-2")).mIdempotent);
+  CHECK(CheckDocument(*document).empty());
+}
+
+/** Guards against one invalid tenant that is left out, so that its callers are
+ * refused, or that ends the nodes that read it. */
+TEST(Store, InvalidTenantsRejectTheConfiguration)
+{
+  CHECK(IsAccepted(WithTenant("t-1", R"({"api_keys":["k"]})")));
+  const std::string oversized(4097, 'k');
+  for (const std::string& it : { std::string(R"({"api_keys":[""]})"),
+                                 R"({"api_keys":[")" + oversized + R"("]})",
+                                 std::string(R"({"api_keys":[7]})"),
+                                 std::string(R"({"rate_per_s":-1})"),
+                                 std::string(R"({"rate_per_s":1e309})"),
+                                 std::string(R"({"rate_per_s":NaN})"),
+                                 std::string(R"({"rate_per_s":"many"})"),
+                                 std::string(R"({"burst":-1})"),
+                                 std::string(R"({"burst":1e10})"),
+                                 std::string(R"({"priority":-1})"),
+                                 std::string(R"({"priority":"1"})") }) {
+    CHECK_TEXT(!IsAccepted(WithTenant("t-1", it)), it.substr(0, 90).c_str());
+  }
+  CHECK(!IsAccepted(WithTenant("", R"({"api_keys":["k"]})")));
+  // A key that two tenants share.
+  std::string shared = WithTenant("t-1", R"({"api_keys":["k"]})");
+  CHECK(!IsAccepted(ReplaceFirst(shared,
+                                 R"({"type":"limits")",
+                                 R"({"type":"tenants","metadata":{"name":"t-2"},
+        "spec":{"api_keys":["j","k"]}},{"type":"limits")")));
+  // Two tenants of one name: it can't be told which one counts.
+  CHECK(!IsAccepted(ReplaceFirst(shared,
+                                 R"({"type":"limits")",
+                                 R"({"type":"tenants","metadata":{"name":"t-1"},
+        "spec":{"api_keys":["j"]}},{"type":"limits")")));
+}
