Keep quotas of client accounts over all nodes

Accounts of a document had a rate and a burst that nothing enforced. Each node now spends from an account's quota by an estimate of its level, and reports its spending as counts to the account's owner, which answers with the level over all nodes. Schedulers take a token at admission and return it if the request is not sent; proxies in fallback take theirs before the send.

--- a/src/Codec.cpp
+++ b/src/Codec.cpp
@@ -84,7 +84,9 @@
                                             "feed_push",
                                             "feed_pull",
                                             "member_pull",
-                                            "member_page" };
+                                            "member_page",
+                                            "quota_report",
+                                            "quota_levels" };
   static_assert(std::size(kNames) == kMessageTypes);
   return kNames[aType];
 }
--- a/src/Duties.cpp
+++ b/src/Duties.cpp
@@ -23,33 +23,53 @@
   return it == aState.mMembers.end() ? 0 : it->second.mCorePercent;
 }
 
-} // namespace
+/** The members of a list in the order of their use. */
+struct CandidateGroups
+{
+  std::vector<NodeId> mPreferred;
+  std::vector<NodeId> mFallback;
+};
 
-std::vector<NodeId>
-OrderForDuty(const MembershipState& aState,
-             const std::vector<NodeId>& aMembers,
-             std::string_view aDuty,
-             std::size_t aCount)
+CandidateGroups
+GroupCandidates(const MembershipState& aState,
+                const std::vector<NodeId>& aMembers)
 {
   unsigned largest = 0;
   for (const NodeId& it : aMembers) {
     largest = std::max(largest, CpuShareOf(aState, it));
   }
-  std::vector<NodeId> preferred;
-  std::vector<NodeId> fallback;
+  CandidateGroups groups;
   for (const NodeId& it : aMembers) {
     bool isPreferred =
       CpuShareOf(aState, it) * kPreferredShareDivisor >= largest;
-    (isPreferred ? preferred : fallback).push_back(it);
+    (isPreferred ? groups.mPreferred : groups.mFallback).push_back(it);
   }
-  std::vector<NodeId> owners = PickOwners(preferred, aDuty, aCount);
+  return groups;
+}
+
+} // namespace
+
+std::vector<NodeId>
+OrderForDuty(const MembershipState& aState,
+             const std::vector<NodeId>& aMembers,
+             std::string_view aDuty,
+             std::size_t aCount)
+{
+  CandidateGroups groups = GroupCandidates(aState, aMembers);
+  std::vector<NodeId> owners = PickOwners(groups.mPreferred, aDuty, aCount);
   if (owners.size() < aCount) {
-    auto others = PickOwners(fallback, aDuty, aCount - owners.size());
+    auto others = PickOwners(groups.mFallback, aDuty, aCount - owners.size());
     owners.insert(owners.end(), others.begin(), others.end());
   }
   return owners;
 }
 
+std::vector<NodeId>
+PreferredMembers(const MembershipState& aState)
+{
+  return GroupCandidates(aState, LiveMembers(aState)).mPreferred;
+}
+
 NodeId
 DutyOwner(const MembershipState& aState, std::string_view aDuty)
 {
--- a/src/Duties.h
+++ b/src/Duties.h
@@ -29,6 +29,11 @@
              std::string_view aDuty,
              std::size_t aCount);
 
+/** Returns the live members that are preferred for duties: those with at least
+ * half of the largest CPU share, in order of their ids. Pure; any thread. */
+std::vector<NodeId>
+PreferredMembers(const MembershipState& aState);
+
 /** Returns the live member that owns a duty; this node if there is no other.
  * Pure; any thread. */
 NodeId
--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -40,6 +40,7 @@
   { kEventFallbackEntered, "FallbackEntered" },
   { kEventFallbackLeft, "FallbackLeft" },
   { kEventSchedulerPassedOver, "SchedulerPassedOver" },
+  { kEventQuotaShareOnly, "QuotaShareOnly" },
   { kEventTargetEjected, "TargetEjected" },
   { kEventTrialStarted, "TrialStarted" },
   { kEventTrialFailed, "TrialFailed" },
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -35,6 +35,7 @@
 constexpr int kEventFallbackEntered = 402;
 constexpr int kEventFallbackLeft = 403;
 constexpr int kEventSchedulerPassedOver = 404;
+constexpr int kEventQuotaShareOnly = 405;
 
 constexpr int kEventTargetEjected = 500;
 constexpr int kEventTrialStarted = 501;
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -139,7 +139,10 @@
 {
   RequestId mRequest = 0;
   RefusalReason mReason = RefusalReason::Overload;
-  MSGPACK_DEFINE(mRequest, mReason)
+  /** With AccountLimit: the time until the account has a token; 0 if unknown.
+   */
+  Duration mRetryAfter{ 0 };
+  MSGPACK_DEFINE(mRequest, mReason, mRetryAfter)
 };
 
 /** Withdraws a LeaseRequest whose caller no longer waits for an answer. */
@@ -147,7 +150,10 @@
 {
   ServiceName mService;
   RequestId mRequest = 0;
-  MSGPACK_DEFINE(mService, mRequest)
+  /** The request is sent without a lease, so that the token of its account
+   * stays taken. */
+  bool mKeepsToken = false;
+  MSGPACK_DEFINE(mService, mRequest, mKeepsToken)
 };
 
 /** Outcome of a request that was assigned to a target. */
@@ -462,6 +468,71 @@
   MSGPACK_DEFINE(mUpdates, mHasMore)
 };
 
+/** What one node has spent of an account's quota since it began to count. The
+ * counts only grow, so that lost, repeated and reordered reports do no harm. */
+struct QuotaCount
+{
+  /** An id of AccountIdOf(). */
+  std::uint64_t mAccount = 0;
+  /** Identifies the start of the counts among those of the same process. */
+  std::uint64_t mEpoch = 0;
+  /** Tokens taken, and tokens returned because their requests were not sent. */
+  std::uint64_t mSpent = 0;
+  std::uint64_t mReturned = 0;
+  /** mSpent - mReturned at the report that the last level answered. */
+  std::uint64_t mSettled = 0;
+  /** The sender's estimate of the quota's level, if it has a recent one. */
+  std::optional<float> mLevel;
+  MSGPACK_DEFINE(mAccount, mEpoch, mSpent, mReturned, mSettled, mLevel)
+};
+
+/** Reports to the owner of accounts what the sender has spent of their quotas.
+ */
+struct QuotaReport
+{
+  /** The incarnation of the sender's process. */
+  std::uint64_t mIncarnation = 0;
+  /** The sender's time of the report. Only the sender can interpret it; the
+   * answer repeats it, so that late answers are recognized. */
+  std::int64_t mSentAt = 0;
+  std::vector<QuotaCount> mCounts;
+  MSGPACK_DEFINE(mIncarnation, mSentAt, mCounts)
+};
+
+/** The level of an account's quota as its owner knows it. */
+struct QuotaLevel
+{
+  std::uint64_t mAccount = 0;
+  /** The counts of the report that this answers. */
+  std::uint64_t mEpoch = 0;
+  std::uint64_t mSpent = 0;
+  std::uint64_t mReturned = 0;
+  /** Tokens left; negative after an overshoot. */
+  float mLevel = 0;
+  /** Tokens per second that the level gains, less what other nodes spend. */
+  float mNetRate = 0;
+  /** The receiver's part of the recent spending, from 0 to 1. */
+  float mShare = 0;
+  /** How many tokens the receiver may take before it reports again. */
+  float mAllowance = 0;
+  MSGPACK_DEFINE(mAccount,
+                 mEpoch,
+                 mSpent,
+                 mReturned,
+                 mLevel,
+                 mNetRate,
+                 mShare,
+                 mAllowance)
+};
+
+/** Answers a QuotaReport. */
+struct QuotaLevels
+{
+  std::int64_t mSentAt = 0;
+  std::vector<QuotaLevel> mLevels;
+  MSGPACK_DEFINE(mSentAt, mLevels)
+};
+
 /** All messages between proxies. The index of an alternative identifies the
  * message type on the wire, so new types must be appended at the end. */
 using Message = std::variant<Ping,
@@ -485,7 +556,9 @@
                              FeedPush,
                              FeedPull,
                              MemberPull,
-                             MemberPage>;
+                             MemberPage,
+                             QuotaReport,
+                             QuotaLevels>;
 
 } // namespace vanillascale
 
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -81,7 +81,14 @@
            aState.mRandom,
            aEffects,
            AdmissionDuringShutdown(aState, aNow),
-           MustEndBy(aState) };
+           MustEndBy(aState),
+           aState.mQuota.mSpender.get() };
+}
+
+QuotaContext
+MakeQuotaContext(NodeState& aState, TimePoint aNow, Effects& aEffects)
+{
+  return { aNow, aState.mMembers, aState.mConfig.mConfig, aEffects };
 }
 
 FeedContext
@@ -118,6 +125,7 @@
                  aService.mName, aState.mOptions.mSelf, epoch, aNow))
       .first->second;
   scheduler.mPool.mFloorPercent = aService.mFloorPercent;
+  scheduler.mQuota = aState.mQuota.mSpender;
   // The retries granted by the previous scheduler are not known.
   scheduler.mRetryTokens = aService.mRetryBurst * kInitialRetryTokenShare;
   if (aState.mHasVms) {
@@ -153,6 +161,37 @@
   return it->second;
 }
 
+/** Passes a lease request to the scheduler of its service. */
+void
+HandOnLeaseRequest(NodeState& aState,
+                   TimePoint aNow,
+                   const NodeId& aFrom,
+                   const LeaseRequest& aRequest,
+                   Effects& aEffects)
+{
+  if (const Service* service = FindService(aState, aRequest.mService)) {
+    SchedulerReceive(GetOrCreateScheduler(aState, aNow, *service, aEffects),
+                     aNow,
+                     *service,
+                     aFrom,
+                     FindZone(aState, aFrom),
+                     aRequest,
+                     aEffects);
+  }
+}
+
+/** Passes on the lease requests that need not wait for a quota any longer. */
+void
+HandOnHeldRequests(NodeState& aState, TimePoint aNow, Effects& aEffects)
+{
+  if (aState.mQuota.mHeld.empty()) {
+    return;
+  }
+  for (const HeldLeaseRequest& it : ReleaseHeldRequests(aState.mQuota, aNow)) {
+    HandOnLeaseRequest(aState, aNow, it.mFrom, it.mRequest, aEffects);
+  }
+}
+
 /** Dispatches a message from a peer to the component that handles its type. */
 struct MessageHandler
 {
@@ -173,16 +212,16 @@
 
   void operator()(const LeaseRequest& aMessage)
   {
-    if (const Service* service = FindService(mState, aMessage.mService)) {
-      SchedulerReceive(GetOrCreateScheduler(mState, mNow, *service, mEffects),
-                       mNow,
-                       *service,
-                       mFrom,
-                       FindZone(mState, mFrom),
-                       aMessage,
-                       mEffects);
+    QuotaContext context = MakeQuotaContext(mState, mNow, mEffects);
+    PrepareQuota(
+      *mState.mQuota.mSpender, mNow, mState.mConfig.mConfig, aMessage.mAccount);
+    if (!HoldForQuota(mState.mQuota, context, mFrom, aMessage)) {
+      HandOnLeaseRequest(mState, mNow, mFrom, aMessage, mEffects);
     }
+    SendUrgentReports(mState.mQuota, context);
   }
+  void operator()(const QuotaReport& aMessage) { DispatchToQuota(aMessage); }
+  void operator()(const QuotaLevels& aMessage) { DispatchToQuota(aMessage); }
   void operator()(const LeaseSync& aMessage)
   {
     if (const Service* service = FindService(mState, aMessage.mService)) {
@@ -209,7 +248,8 @@
   void operator()(const LeaseWithdrawal& aMessage)
   {
     auto it = mState.mSchedulers.find(aMessage.mService);
-    if (it != mState.mSchedulers.end()) {
+    if (!WithdrawHeldRequest(mState.mQuota, mFrom, aMessage) &&
+        it != mState.mSchedulers.end()) {
       SchedulerReceive(it->second, mNow, mFrom, aMessage);
     }
   }
@@ -268,6 +308,13 @@
       mState.mProxy, MakeProxyContext(mState, mNow, mEffects), mFrom, aMessage);
   }
   template<typename Body>
+  void DispatchToQuota(const Body& aMessage)
+  {
+    QuotaContext context = MakeQuotaContext(mState, mNow, mEffects);
+    QuotaReceive(mState.mQuota, context, mFrom, aMessage);
+    HandOnHeldRequests(mState, mNow, mEffects);
+  }
+  template<typename Body>
   void DispatchToFeed(const Body& aMessage)
   {
     auto it = mState.mFeeds.find(aMessage.mTopic);
@@ -373,6 +420,8 @@
       IntentWriterTick(writer, mNow, mEffects);
     }
     ProxyTick(mState.mProxy, MakeProxyContext(mState, mNow, mEffects));
+    HandOnHeldRequests(mState, mNow, mEffects);
+    QuotaTick(mState.mQuota, MakeQuotaContext(mState, mNow, mEffects));
     FinishShutdown(mState, mNow, mEffects);
   }
 
@@ -464,6 +513,7 @@
   {
     ProxyReceive(
       mState.mProxy, MakeProxyContext(mState, mNow, mEffects), aEvent);
+    SendUrgentReports(mState.mQuota, MakeQuotaContext(mState, mNow, mEffects));
   }
 };
 
@@ -481,6 +531,7 @@
   state.mProxy = ProxyState::Make(
     aOptions.mSelf, aOptions.mIncarnation, aOptions.mEnvironment);
   state.mProxy.mChoosesLocally = aOptions.mChoosesLocally;
+  state.mQuota = NodeQuota::Make(aOptions.mIncarnation);
   std::vector<Vm> seeds;
   for (const NodeId& it : aOptions.mSeeds) {
     Vm vm;
@@ -533,7 +584,8 @@
 bool
 IsBusy(const NodeState& aState)
 {
-  if (!aState.mProxy.mRequests.empty() || aState.mIsStopping) {
+  if (!aState.mProxy.mRequests.empty() || aState.mIsStopping ||
+      !aState.mQuota.mHeld.empty()) {
     return true;
   }
   for (const auto& [name, scheduler] : aState.mSchedulers) {
--- a/src/Node.h
+++ b/src/Node.h
@@ -6,6 +6,7 @@
 #include "KeyedFeed.h"
 #include "Membership.h"
 #include "NodeEvents.h"
+#include "NodeQuota.h"
 #include "Proxy.h"
 #include "Scheduler.h"
 
@@ -63,6 +64,7 @@
   ConfigReaderState mConfig;
   ProxyState mProxy;
   std::map<ServiceName, SchedulerState> mSchedulers;
+  NodeQuota mQuota;
   std::map<std::string, IntentWriterState> mIntentWriters;
   /** By topic; empty if the source is ChangeStream. */
   std::map<std::string, KeyedFeedState> mFeeds;
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -2,6 +2,7 @@
 
 #include "ProxyVerdicts.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -257,6 +258,66 @@
            labels);
 }
 
+/** Adds the levels of the accounts that this node owns and that have less than
+ * half of their quota left, the lowest first. */
+void
+AddQuotaLevels(prometheus::Registry& aRegistry, const NodeState& aState)
+{
+  constexpr std::size_t kMaxLevels = 50;
+  std::vector<std::pair<double, std::uint64_t>> levels;
+  for (const auto& [account, entry] : aState.mQuota.mLedger.mEntries) {
+    if (entry.mLevel < QuotaCapacity(entry.mLimits) / 2) {
+      levels.emplace_back(entry.mLevel, account);
+    }
+  }
+  std::sort(levels.begin(), levels.end());
+  levels.resize(std::min(levels.size(), kMaxLevels));
+  for (const auto& [level, id] : levels) {
+    const ClientAccount* account = FindAccountById(aState.mConfig.mConfig, id);
+    if (account) {
+      AddGauge(aRegistry,
+               "vanillascale_quota_level",
+               "Requests left in the quota of an account that this node owns, "
+               "for the 50 lowest below a half",
+               level,
+               { { "account", account->mName.mValue } });
+    }
+  }
+}
+
+void
+AddQuotaMetrics(prometheus::Registry& aRegistry, const NodeState& aState)
+{
+  const NodeQuota& quota = aState.mQuota;
+  auto add = [&](const char* aName, const char* aHelp, std::uint64_t aValue) {
+    AddCounter(aRegistry, aName, aHelp, static_cast<double>(aValue));
+  };
+  add("vanillascale_quota_taken_total",
+      "Tokens taken from quotas of accounts by this node",
+      quota.mSpender->mTaken);
+  add("vanillascale_quota_returned_total",
+      "Tokens returned because their requests were not sent",
+      quota.mSpender->mReturned);
+  add("vanillascale_quota_refused_total",
+      "Requests refused by this node because of a quota",
+      quota.mSpender->mRefused);
+  add("vanillascale_quota_held_total",
+      "Requests held until the level of a quota was known",
+      quota.mHeldRequests);
+  add("vanillascale_quota_reports_total",
+      "Reports of spending sent to owners of accounts",
+      quota.mSentReports);
+  AddGauge(aRegistry,
+           "vanillascale_quota_spent_accounts",
+           "Accounts whose quota this node spends",
+           static_cast<double>(quota.mSpender->mBuckets.size()));
+  AddGauge(aRegistry,
+           "vanillascale_quota_owned_accounts",
+           "Accounts in use whose ledger this node keeps",
+           static_cast<double>(quota.mLedger.mEntries.size()));
+  AddQuotaLevels(aRegistry, aState);
+}
+
 /** Adds the counters of one message type between peers, unless all are 0. */
 void
 AddPeerTypeMetrics(prometheus::Registry& aRegistry,
@@ -318,6 +379,7 @@
            "Requests from callers in progress",
            static_cast<double>(aRuntime.mOpenRequests));
   AddRuntimeMetrics(registry, aRuntime);
+  AddQuotaMetrics(registry, aState);
   for (const auto& [topic, feed] : aState.mFeeds) {
     AddFeedMetrics(registry, feed, aNow);
   }
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -314,8 +314,10 @@
   bool isExpected = request->mStage == RequestStage::AwaitingLease &&
                     request->mQueriedNode == aFrom;
   if (isExpected) {
-    FinishUnserved(
-      aState, aContext, *request, MakeRefusalVerdict(aRefusal.mReason));
+    FinishUnserved(aState,
+                   aContext,
+                   *request,
+                   MakeRefusalVerdict(aRefusal.mReason, aRefusal.mRetryAfter));
   }
 }
 
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -1,6 +1,7 @@
 #ifndef VANILLASCALE_PROXY_H
 #define VANILLASCALE_PROXY_H
 
+#include "AccountQuota.h"
 #include "AnswerCache.h"
 #include "ConfigFold.h"
 #include "LatencyHistogram.h"
@@ -60,6 +61,8 @@
   std::uint64_t mFingerprint = 0;
   /** Id of the client account; 0 where the request has none. */
   std::uint64_t mAccount = 0;
+  /** A token of the account's quota was claimed for it. */
+  bool mHasClaimedQuota = false;
   /** See SendToTarget. */
   std::optional<AccountName> mAccountName;
   TimePoint mDeadlineAt{};
@@ -206,6 +209,9 @@
   /** Every request has to be answered before this time, at which the process is
    * about to be terminated. */
   TimePoint mMustEndBy = TimePoint::max();
+  /** The node's spending from the quotas of accounts, for requests that are
+   * sent without a scheduler; null if there are none. */
+  QuotaSpender* mQuota = nullptr;
 };
 
 /** Moves the deadlines of all requests that end after aMustEndBy to that time,
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -3,7 +3,10 @@
 #include "Duties.h"
 #include "EventNumbers.h"
 #include "Hash.h"
+#include "NodeQuota.h"
+#include "ProxyCompletion.h"
 #include "ProxyLog.h"
+#include "ProxyVerdicts.h"
 
 #include <algorithm>
 
@@ -157,16 +160,72 @@
     SendToPeer{ aLink.mScheduler, std::move(message) });
 }
 
-/** Sends a request to a locally chosen target. Returns false where a retry has
- * no token left or no target has a free slot in this proxy's share. */
-bool
+/** The result of the attempt to send a request without a scheduler. */
+enum class LocalSend
+{
+  Sent,
+  /** A retry has no token left, or no target has a free slot in this proxy's
+   * share. */
+  NoSlot,
+  /** The request waits for the level of its account's quota. */
+  WaitsForQuota,
+  /** The quota of the request's account is used up; the request is ended. */
+  Refused
+};
+
+/** Takes a token of the quota of a request's account before it is sent without
+ * a scheduler. Takes none for a retry, nor for a request that a scheduler is
+ * known to have admitted. */
+QuotaDecision
+TakeLocalQuota(const ProxyContext& aContext, ProxyRequest& aRequest)
+{
+  if (!aContext.mQuota || aRequest.mIsRetry || aRequest.mIsQueued) {
+    return QuotaDecision::Taken;
+  }
+  PrepareQuota(
+    *aContext.mQuota, aContext.mNow, aContext.mConfig, aRequest.mAccount);
+  // In fallback, every node may be a spender, so that each has a part of what
+  // may be taken before the owner answers.
+  QuotaDecision decision = TakeQuotaToken(*aContext.mQuota,
+                                          aContext.mNow,
+                                          aRequest.mAccount,
+                                          aContext.mQuota->mEqualShare);
+  if (decision == QuotaDecision::Unknown && !aRequest.mHasClaimedQuota) {
+    aRequest.mHasClaimedQuota = true;
+    ClaimQuotaToken(*aContext.mQuota, aContext.mNow, aRequest.mAccount);
+  }
+  return decision;
+}
+
+/** Refuses a request because of its account's quota. */
+void
+RefuseForQuota(ProxyState& aState,
+               const ProxyContext& aContext,
+               ProxyRequest& aRequest)
+{
+  aContext.mEffects.push_back(WriteEvent{
+    kEventSlotRefused,
+    "request=" + aRequest.mName + " service=" + aRequest.mService.mValue +
+      " reason=account-limit scheduler=none" +
+      DescribeQuota(*aContext.mQuota, aRequest.mAccount) });
+  Duration retryAfter =
+    TimeUntilQuotaToken(*aContext.mQuota, aContext.mNow, aRequest.mAccount);
+  WithdrawLeaseRequest(aContext, aRequest);
+  FinishUnserved(aState,
+                 aContext,
+                 aRequest,
+                 MakeRefusalVerdict(RefusalReason::AccountLimit, retryAfter));
+}
+
+/** Sends a request to a locally chosen target, if its account has a token. */
+LocalSend
 TrySendLocally(ProxyState& aState,
                const ProxyContext& aContext,
                SchedulerLink& aLink,
                ProxyRequest& aRequest)
 {
   if (aRequest.mIsRetry && aLink.mRetryTokens < 1) {
-    return false;
+    return LocalSend::NoSlot;
   }
   std::size_t proxyCount = LiveMembers(aContext.mMembers).size();
   auto target = PickLocalTarget(aLink.mLocalChoice,
@@ -175,7 +234,15 @@
                                 aRequest.mAvoidedTarget,
                                 aContext.mRandom);
   if (!target) {
-    return false;
+    return LocalSend::NoSlot;
+  }
+  QuotaDecision quota = TakeLocalQuota(aContext, aRequest);
+  if (quota == QuotaDecision::Unknown) {
+    return LocalSend::WaitsForQuota;
+  }
+  if (quota == QuotaDecision::Refused) {
+    RefuseForQuota(aState, aContext, aRequest);
+    return LocalSend::Refused;
   }
   aLink.mRetryTokens =
     aRequest.mIsRetry
@@ -185,13 +252,13 @@
   TakeLocalToken(aLink.mLocalChoice, aContext.mNow, proxyCount, *target);
   // The scheduler may have granted the lease in a message that was lost. It
   // must not hold the slot for a request that is sent elsewhere.
-  WithdrawLeaseRequest(aContext, aRequest);
+  WithdrawLeaseRequest(aContext, aRequest, aRequest.mIsQueued);
   aRequest.mQueriedNode = NodeId();
   LeaseId lease = kLocalLeaseBit |
                   Hash64(aState.mSelf.mValue,
                          aState.mIncarnation + aRequest.mId + aRequest.mSends);
   SendUnderLease(aState, aContext, aRequest, lease, *target);
-  return true;
+  return LocalSend::Sent;
 }
 
 using WaitingByService = std::map<ServiceName, std::vector<ProxyRequest*>>;
@@ -264,7 +331,8 @@
       isProbeDue = false;
       aLink.mNextProbeAt = aContext.mNow + kFallbackProbeInterval;
       SendLeaseRequest(aContext, aLink, *it);
-    } else if (!TrySendLocally(aState, aContext, aLink, *it)) {
+    } else if (TrySendLocally(aState, aContext, aLink, *it) ==
+               LocalSend::NoSlot) {
       break;
     }
   }
@@ -470,12 +538,14 @@
 }
 
 void
-WithdrawLeaseRequest(const ProxyContext& aContext, const ProxyRequest& aRequest)
+WithdrawLeaseRequest(const ProxyContext& aContext,
+                     const ProxyRequest& aRequest,
+                     bool aKeepsToken)
 {
   if (!aRequest.mQueriedNode.mValue.empty()) {
-    aContext.mEffects.push_back(
-      SendToPeer{ aRequest.mQueriedNode,
-                  LeaseWithdrawal{ aRequest.mService, aRequest.mPeerId } });
+    aContext.mEffects.push_back(SendToPeer{
+      aRequest.mQueriedNode,
+      LeaseWithdrawal{ aRequest.mService, aRequest.mPeerId, aKeepsToken } });
   }
 }
 
--- a/src/ProxyLeases.h
+++ b/src/ProxyLeases.h
@@ -51,10 +51,12 @@
                   LeaseId aLease);
 
 /** Withdraws a request's lease request from the queried scheduler, if there is
- * one. */
+ * one. aKeepsToken: the request is sent, so that the quota token that the
+ * scheduler took stays taken. */
 void
 WithdrawLeaseRequest(const ProxyContext& aContext,
-                     const ProxyRequest& aRequest);
+                     const ProxyRequest& aRequest,
+                     bool aKeepsToken = false);
 
 /** Records that a message of a service's scheduler arrived. Ends the
  * scheduler's exclusion or the service's fallback. */
--- a/src/ProxyVerdicts.cpp
+++ b/src/ProxyVerdicts.cpp
@@ -2,8 +2,10 @@
 
 namespace vanillascale {
 
+namespace {
+
 Verdict
-MakeRefusalVerdict(RefusalReason aReason)
+VerdictOf(RefusalReason aReason)
 {
   switch (aReason) {
     case RefusalReason::Overload:
@@ -25,6 +27,18 @@
   return { kStatusUnavailable, RunOutcome::NotRun, kReasonOverload };
 }
 
+} // namespace
+
+Verdict
+MakeRefusalVerdict(RefusalReason aReason, Duration aRetryAfter)
+{
+  Verdict verdict = VerdictOf(aReason);
+  if (aRetryAfter > Duration(0)) {
+    verdict.mRetryAfter = aRetryAfter;
+  }
+  return verdict;
+}
+
 const char*
 RunOutcomeName(RunOutcome aOutcome)
 {
--- a/src/ProxyVerdicts.h
+++ b/src/ProxyVerdicts.h
@@ -50,9 +50,10 @@
 constexpr unsigned kStatusGatewayTimeout = 504;
 
 /** Returns the verdict for a request that got no lease for aReason and was not
- * run. Pure. */
+ * run. aRetryAfter: when a repeat of it may succeed; 0 if that is not known.
+ * Pure. */
 Verdict
-MakeRefusalVerdict(RefusalReason aReason);
+MakeRefusalVerdict(RefusalReason aReason, Duration aRetryAfter = Duration(0));
 
 /** Returns the value of the Vanillascale-Outcome header for an outcome. Pure.
  */
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -190,6 +190,9 @@
     return;
   }
   ActiveLease lease = EndLease(aState, it);
+  if (aReport.mOutcome == TargetOutcome::Unused && aState.mQuota) {
+    ReturnQuotaToken(*aState.mQuota, aNow, lease.mAccount);
+  }
   UpdateCredits(aState.mQueue,
                 lease.mIsLong,
                 lease.mPriority,
@@ -201,19 +204,25 @@
 
 void
 SchedulerReceive(SchedulerState& aState,
-                 TimePoint /*aNow*/,
+                 TimePoint aNow,
                  const NodeId& aFrom,
                  const LeaseWithdrawal& aWithdrawal)
 {
   if (auto key = FindQueued(aState.mQueue, aFrom, aWithdrawal.mRequest)) {
-    Dequeue(aState.mQueue, *key);
+    QueuedRequest queued = Dequeue(aState.mQueue, *key);
+    if (!aWithdrawal.mKeepsToken) {
+      ReturnQuota(aState, aNow, queued.mRequest);
+    }
     return;
   }
   // The grant and the withdrawal were in flight at the same time, or the grant
   // was lost.
   auto granted = aState.mLeaseByRequest.find({ aFrom, aWithdrawal.mRequest });
   if (granted != aState.mLeaseByRequest.end()) {
-    EndLease(aState, aState.mLeases.find(granted->second));
+    ActiveLease lease = EndLease(aState, aState.mLeases.find(granted->second));
+    if (!aWithdrawal.mKeepsToken && aState.mQuota) {
+      ReturnQuotaToken(*aState.mQuota, aNow, lease.mAccount);
+    }
   }
 }
 
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -2,6 +2,7 @@
 #define VANILLASCALE_SCHEDULER_H
 
 #include "AccountLimits.h"
+#include "AccountQuota.h"
 #include "Document.h"
 #include "Effects.h"
 #include "HarmfulRequests.h"
@@ -9,6 +10,7 @@
 #include "TargetPool.h"
 
 #include <map>
+#include <memory>
 #include <unordered_map>
 
 namespace vanillascale {
@@ -35,6 +37,8 @@
   /** The slot time that was charged to its priority at the grant. */
   Duration mChargedTime{ 0 };
   std::uint64_t mFingerprint = 0;
+  /** The account whose quota the request took a token of; 0 if none. */
+  std::uint64_t mAccount = 0;
   TimePoint mGrantedAt{};
   /** When the slot becomes free if the lease is not returned. */
   TimePoint mExpiresAt{};
@@ -99,6 +103,9 @@
   /** Latency baselines by route. */
   std::unordered_map<std::uint32_t, LatencyBaseline> mBaselines;
   AccountLimits mAccounts;
+  /** The node's spending from the quotas of accounts; null if there are none.
+   */
+  std::shared_ptr<QuotaSpender> mQuota;
   HarmfulRequests mHarmful;
   std::map<NodeId, SchedulerClient> mClients;
   /** Exponentially decaying counts of the requests that were served and that
--- a/src/SchedulerAdmission.cpp
+++ b/src/SchedulerAdmission.cpp
@@ -66,6 +66,15 @@
   return it == aState.mBaselines.end() ? Duration(0) : it->second.mMean;
 }
 
+/** Takes a token of the quota of a request's account; false if none is left. */
+bool
+TakeQuota(SchedulerState& aState, TimePoint aNow, const LeaseRequest& aRequest)
+{
+  return !aState.mQuota ||
+         TakeQuotaToken(*aState.mQuota, aNow, aRequest.mAccount, 1) ==
+           QuotaDecision::Taken;
+}
+
 } // namespace
 
 Duration
@@ -107,16 +116,31 @@
         aState.mAccounts, aNow, aRequest.mAccount, aSettings.mAccountLimit)) {
     return RefusalReason::AccountLimit;
   }
+  if (!TakeQuota(aState, aNow, aRequest)) {
+    return RefusalReason::AccountLimit;
+  }
   Duration maxWait = MaxQueueWait(aState, aRequest);
   if (AreAllPausedFor(aState.mPool, aNow, aProxy, aNow + maxWait)) {
+    ReturnQuota(aState, aNow, aRequest);
     return RefusalReason::NoTarget;
   }
   if (IsQueueTooLong(aState, aNow, aRequest, maxWait)) {
+    ReturnQuota(aState, aNow, aRequest);
     return RefusalReason::Overload;
   }
   return std::nullopt;
 }
 
+void
+ReturnQuota(SchedulerState& aState,
+            TimePoint aNow,
+            const LeaseRequest& aRequest)
+{
+  if (aState.mQuota && !aRequest.mIsRetry) {
+    ReturnQuotaToken(*aState.mQuota, aNow, aRequest.mAccount);
+  }
+}
+
 void
 Refuse(SchedulerState& aState,
        TimePoint aNow,
@@ -130,6 +154,7 @@
       aReason == RefusalReason::NoTarget) {
     CountRecentRequest(aState, aNow, false);
   }
+  bool isForQuota = aState.mQuota && aReason == RefusalReason::AccountLimit;
   aEffects.push_back(WriteEvent{
     kEventSlotRefused,
     "request=" + aRequest.mName + " service=" + aState.mService.mValue +
@@ -141,9 +166,13 @@
       " paused_targets=" +
       std::to_string(CountPausedTargets(aState.mPool, aNow)) +
       " leases=" + std::to_string(aState.mLeases.size()) +
-      " retry_tokens=" + std::to_string(aState.mRetryTokens) });
-  aEffects.push_back(
-    SendToPeer{ aProxy, LeaseRefusal{ aRequest.mRequest, aReason } });
+      " retry_tokens=" + std::to_string(aState.mRetryTokens) +
+      (isForQuota ? DescribeQuota(*aState.mQuota, aRequest.mAccount) : "") });
+  Duration retryAfter =
+    isForQuota ? TimeUntilQuotaToken(*aState.mQuota, aNow, aRequest.mAccount)
+               : Duration(0);
+  aEffects.push_back(SendToPeer{
+    aProxy, LeaseRefusal{ aRequest.mRequest, aReason, retryAfter } });
 }
 
 void
@@ -152,6 +181,7 @@
   bool hasTargets = UsableSlots(aState.mPool, aNow) > 0;
   for (const QueueKey& it : TimedOutEntries(aState.mQueue, aNow)) {
     QueuedRequest queued = Dequeue(aState.mQueue, it);
+    ReturnQuota(aState, aNow, queued.mRequest);
     Refuse(aState,
            aNow,
            queued.mProxy,
--- a/src/SchedulerAdmission.h
+++ b/src/SchedulerAdmission.h
@@ -32,6 +32,13 @@
                const NodeId& aProxy,
                const LeaseRequest& aRequest);
 
+/** Returns the quota token of a request that was admitted but is not sent. Does
+ * nothing for a retry, which has taken none. */
+void
+ReturnQuota(SchedulerState& aState,
+            TimePoint aNow,
+            const LeaseRequest& aRequest);
+
 /** Sends a refusal to the proxy, counts it and logs it with its reason. */
 void
 Refuse(SchedulerState& aState,
--- a/src/SchedulerPlacement.cpp
+++ b/src/SchedulerPlacement.cpp
@@ -55,6 +55,7 @@
   lease.mPriority = aKey.mPriority;
   lease.mChargedTime = ExpectedSlotTime(aState);
   lease.mFingerprint = request.mFingerprint;
+  lease.mAccount = request.mIsRetry ? 0 : request.mAccount;
   lease.mGrantedAt = aNow;
   lease.mExpiresAt = queued.mDeadlineAt + kLeaseExpiryMargin;
   aState.mLeaseByRequest[{ lease.mHolder, lease.mRequest }] = id;
