Tell callers that targets refused to return soon

Refused callers were told to return after a second, which is longer than a third of what is left of most deadlines, so that none does. If the targets refuse at random or the retry budget is spent, a return has the same chance at once and takes nothing from the budget: 40 to 120 ms, spread. Where slots are short, the second stays.

--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -7,6 +7,7 @@
 #include "ProxyLeases.h"
 #include "ProxyLog.h"
 #include "ProxyVerdicts.h"
+#include "ReturnTime.h"
 
 #include <algorithm>
 
@@ -58,10 +59,15 @@
     RetryRequest(aState, aContext, aRequest);
     return;
   }
-  FinishUnserved(aState,
-                 aContext,
-                 aRequest,
-                 { kStatusUnavailable, RunOutcome::NotRun, kReasonNoTarget });
+  Duration left = aRequest.mDeadlineAt - aContext.mNow;
+  FinishUnserved(
+    aState,
+    aContext,
+    aRequest,
+    { kStatusUnavailable,
+      RunOutcome::NotRun,
+      kReasonNoTarget,
+      ReturnDelay(ReturnCause::RefusedByTargets, left, aContext.mRandom) });
 }
 
 /** Handles a send that the target may have run. */
@@ -314,8 +320,16 @@
   bool isExpected = request->mStage == RequestStage::AwaitingLease &&
                     request->mQueriedNode == aFrom;
   if (isExpected) {
-    FinishUnserved(
-      aState, aContext, *request, MakeRefusalVerdict(aRefusal.mReason));
+    Duration retryAfter = aRefusal.mRetryAfter;
+    if (retryAfter == Duration(0)) {
+      retryAfter = ReturnDelay(ReturnCauseOf(aRefusal.mReason),
+                               request->mDeadlineAt - aContext.mNow,
+                               aContext.mRandom);
+    }
+    FinishUnserved(aState,
+                   aContext,
+                   *request,
+                   MakeRefusalVerdict(aRefusal.mReason, retryAfter));
   }
 }
 
