--- a/src/AccountQuota.cpp
+++ b/src/AccountQuota.cpp
@@ -42,10 +42,13 @@
 /** The share of the rate that a node used last is valid for this time without
  * an owner. The members replace a dead owner in less; if none comes, this node
  * is cut off, and others may use the same share. */
-constexpr Duration kShareLifetime = milliseconds(1500);
+constexpr Duration kShareLifetime = milliseconds(1200);
 /** Share of a scheduler that has never had a level: its predecessor and the
  * owner have failed together. */
 constexpr double kNewSchedulerShare = 0.15;
+/** A request waits for the next token of a share if it comes in this time: the
+ * share of one node is often less than one token. */
+constexpr Duration kShareWaitTime = milliseconds(100);
 /** Claimed tokens that are not used within this time are returned. */
 constexpr Duration kClaimLifetime = milliseconds(250);
 /** A bucket that was not used for this time is removed. The owner keeps the
@@ -251,9 +254,14 @@
   if (!isFresh && !bucket.mHasOnlyShare) {
     if (bucket.mUnansweredSince == TimePoint::max()) {
       bucket.mUnansweredSince = aNow;
-      bucket.mAllowance = QuotaFirstUse(bucket.mLimits) * aFirstUseShare;
+      bucket.mAllowance = 0;
+      bucket.mFirstUseShare = 0;
       MarkUrgent(aSpender, bucket, aAccount, aNow);
     }
+    // The node's scheduler may take more than its proxy has before.
+    double added = std::max(0.0, aFirstUseShare - bucket.mFirstUseShare);
+    bucket.mAllowance += QuotaFirstUse(bucket.mLimits) * added;
+    bucket.mFirstUseShare += added;
     if (aNow - bucket.mUnansweredSince <= kOwnerTimeout) {
       return bucket.mAllowance >= 1 ? QuotaDecision::Taken
                                     : QuotaDecision::Unknown;
@@ -261,8 +269,11 @@
     UseShare(aSpender, bucket, aAccount, aNow, aFirstUseShare);
   }
   if (bucket.mTokens < 1) {
-    return bucket.mClaimed > 0 ? QuotaDecision::Unknown
-                               : QuotaDecision::Refused;
+    double gain = GainOf(aSpender, bucket, aNow);
+    bool isTokenNear = bucket.mHasOnlyShare &&
+                       bucket.mTokens + gain * Seconds(kShareWaitTime) >= 1;
+    return bucket.mClaimed > 0 || isTokenNear ? QuotaDecision::Unknown
+                                              : QuotaDecision::Refused;
   }
   return bucket.mHasOnlyShare || bucket.mAllowance >= 1
            ? QuotaDecision::Taken
@@ -405,6 +416,12 @@
   bucket.mReportedAt = aNow;
   bucket.mIsReportDue = false;
   bucket.mUnansweredSince = std::min(bucket.mUnansweredSince, aNow);
+  if (bucket.mHasOnlyShare) {
+    // The share has paid for the spending, so that a new owner must not take it
+    // off the shares of others.
+    count.mSettled = count.mSpent - count.mReturned;
+  }
+  count.mIsShare = bucket.mHasOnlyShare;
   count.mLevel = std::nullopt;
   if (HasFreshLevel(bucket, aNow) || bucket.mHasOnlyShare) {
     count.mLevel = static_cast<float>(bucket.mTokens);
--- a/src/AccountQuota.h
+++ b/src/AccountQuota.h
@@ -66,8 +66,10 @@
    * mShareOnlySince. */
   bool mHasOnlyShare = false;
   TimePoint mShareOnlySince{};
-  /** Tokens that may be taken before the next level arrives. */
+  /** Tokens that may be taken before the next level arrives, and the part of
+   * QuotaFirstUse() that they include if no level is known. */
   double mAllowance = 0;
+  double mFirstUseShare = 0;
   /** Requests that wait for a token that has not been claimed yet. */
   std::uint64_t mWaiting = 0;
   /** Tokens taken for waiting requests, part of the counts. Their report is not
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -483,7 +483,15 @@
   std::uint64_t mSettled = 0;
   /** The sender's estimate of the quota's level, if it has a recent one. */
   std::optional<float> mLevel;
-  MSGPACK_DEFINE(mAccount, mEpoch, mSpent, mReturned, mSettled, mLevel)
+  /** mLevel is only the sender's share, since its owner did not answer. */
+  bool mIsShare = false;
+  MSGPACK_DEFINE(mAccount,
+                 mEpoch,
+                 mSpent,
+                 mReturned,
+                 mSettled,
+                 mLevel,
+                 mIsShare)
 };
 
 /** Reports to the owner of accounts what the sender has spent of their quotas.
--- a/src/NodeQuota.cpp
+++ b/src/NodeQuota.cpp
@@ -101,6 +101,26 @@
   aQuota.mSpender->mWithoutOwner.clear();
 }
 
+/** Updates the part of the fleet that the ledger reckons with. Suspect members
+ * count as unreachable: it takes seconds until all members behind a partition
+ * are known to be dead. */
+void
+UpdateReachablePart(NodeQuota& aQuota, const MembershipState& aMembers)
+{
+  auto suspects =
+    std::count_if(aMembers.mSuspectOrDead.begin(),
+                  aMembers.mSuspectOrDead.end(),
+                  [&](const NodeId& aNode) {
+                    auto it = aMembers.mMembers.find(aNode);
+                    return it != aMembers.mMembers.end() &&
+                           it->second.mStatus == MemberStatus::Suspect;
+                  });
+  auto live =
+    static_cast<double>(std::max<std::size_t>(aQuota.mOwners.mLive.size(), 1));
+  double answering = 1 - std::min(1.0, static_cast<double>(suspects) / live);
+  aQuota.mLedger.mReachablePart = ReachablePart(aQuota.mOwners) * answering;
+}
+
 } // namespace
 
 NodeQuota
@@ -207,7 +227,7 @@
              const QuotaReport& aReport)
 {
   UpdateQuotaOwners(aQuota.mOwners, aContext.mNow, aContext.mMembers);
-  aQuota.mLedger.mReachablePart = ReachablePart(aQuota.mOwners);
+  UpdateReachablePart(aQuota, aContext.mMembers);
   QuotaLevels answer;
   answer.mSentAt = aReport.mSentAt;
   for (const QuotaCount& it : aReport.mCounts) {
@@ -272,7 +292,7 @@
   LogAccountsWithoutOwner(aQuota, aContext);
   if (now >= aQuota.mNextCleanupAt) {
     aQuota.mNextCleanupAt = now + kCleanupInterval;
-    aQuota.mLedger.mReachablePart = ReachablePart(aQuota.mOwners);
+    UpdateReachablePart(aQuota, aContext.mMembers);
     RemoveIdleQuotas(*aQuota.mSpender, now);
     LedgerTick(aQuota.mLedger, now, [&](const NodeId& aNode) {
       return aNode == aContext.mMembers.mSelf ||
--- a/src/QuotaLedger.cpp
+++ b/src/QuotaLedger.cpp
@@ -13,11 +13,14 @@
  * owner assumes that it continues at its last rate: it may be unreachable, and
  * then it uses its share of the quota. */
 constexpr Duration kSilenceTime = milliseconds(550);
-/** Until then it is known to be dead, or the link is. */
-constexpr Duration kMaxAssumedTime = seconds(3);
-/** Reports of further spenders may lower the level of a new entry for this
- * time. */
+/** Reports of further spenders may change the level of an entry for this time
+ * after an owner was replaced. */
 constexpr Duration kTakeoverTime = seconds(1);
+/** Until the members have agreed on who vanished with the former owner, a new
+ * one cannot tell its death from a partition, and gives this part of the rate.
+ * Accounts seldom use more than 1 / 1.6 of it. */
+constexpr Duration kCautiousTime = seconds(2);
+constexpr double kCautiousPart = 0.7;
 /** Time constant of the smoothed spending of a node. */
 constexpr Duration kRateTime = milliseconds(300);
 /** Up to this number of spenders, each may take the whole level before it
@@ -28,6 +31,9 @@
 constexpr Duration kActiveTime = seconds(1);
 /** A spender that has not reported for this time is removed. */
 constexpr Duration kSpenderIdleTime = seconds(6);
+/** The time since the creation of an entry whose account this node has owned
+ * for longer. */
+constexpr Duration kOldEntryAge = seconds(10);
 /** An overshoot is paid back for at most this time. */
 constexpr double kMaxDebtSeconds = 2;
 
@@ -47,7 +53,7 @@
       continue;
     }
     double assumed =
-      spender.mRate * Seconds(std::min(silence, kMaxAssumedTime));
+      spender.mRate * Seconds(std::min(silence, kSpenderIdleTime));
     aEntry.mLevel -= assumed - spender.mAssumed;
     spender.mAssumed = assumed;
   }
@@ -56,8 +62,10 @@
 void
 Refill(const QuotaLedger& aLedger, LedgerEntry& aEntry, TimePoint aNow)
 {
-  double gain =
-    aEntry.mLimits.mRate * aLedger.mReachablePart * Seconds(aNow - aEntry.mAt);
+  double part = aNow - aEntry.mCreatedAt < kCautiousTime
+                  ? std::min(aLedger.mReachablePart, kCautiousPart)
+                  : aLedger.mReachablePart;
+  double gain = aEntry.mLimits.mRate * part * Seconds(aNow - aEntry.mAt);
   aEntry.mAt = aNow;
   aEntry.mLevel += gain;
   ChargeSilentSpenders(aEntry, aNow);
@@ -79,12 +87,14 @@
   LedgerEntry& entry = it->second;
   entry.mLimits = aLimits;
   if (isNew) {
-    entry.mCreatedAt = aNow;
+    bool isTakeover = aNow - aOwnedSince < kCautiousTime;
+    entry.mCreatedAt = isTakeover ? aNow : aNow - kOldEntryAge;
     entry.mAt = aNow;
     entry.mLevel = std::min(QuotaCapacity(aLimits),
-                            QuotaStartLevel(aLimits) +
+                            QuotaStartLevel(aLimits) * aLedger.mReachablePart +
                               aLimits.mRate * aLedger.mReachablePart *
                                 Seconds(aNow - aOwnedSince));
+    entry.mIsFromShares = aCount.mLevel && aCount.mIsShare;
     // The spender's level does not include the start level of a ledger, but
     // what it has spent.
     if (aCount.mLevel) {
@@ -139,9 +149,12 @@
   spender.mReturned = aCount.mReturned;
   spender.mReportedAt = aNow;
   spender.mAssumed = 0;
-  bool isLevelKnown = isNew && aCount.mLevel;
-  if (isLevelKnown && aNow - aEntry.mCreatedAt < kTakeoverTime) {
+  bool isTakeover = isNew && aEntry.mSpenders.size() > 1 &&
+                    aNow - aEntry.mCreatedAt < kTakeoverTime;
+  if (isTakeover && aCount.mLevel && !aCount.mIsShare) {
     aEntry.mLevel = std::min(aEntry.mLevel, *aCount.mLevel + spending);
+  } else if (isTakeover && aCount.mLevel && aEntry.mIsFromShares) {
+    aEntry.mLevel += std::max(0.0F, *aCount.mLevel);
   }
   return spending - assumed;
 }
--- a/src/QuotaLedger.h
+++ b/src/QuotaLedger.h
@@ -32,6 +32,9 @@
   double mLevel = 0;
   TimePoint mAt{};
   TimePoint mCreatedAt{};
+  /** The level at mCreatedAt was the share of one spender, to which those of
+   * others are added. */
+  bool mIsFromShares = false;
   std::map<NodeId, LedgerSpender> mSpenders;
 };
 
--- a/test/correctness/AccountQuotasAreKept.cpp
+++ b/test/correctness/AccountQuotasAreKept.cpp
@@ -152,3 +152,40 @@
   CHECK(static_cast<double>(arrivals) < kRate * 10);
   LONGS_EQUAL(0, fleet.mRefused);
 }
+
+TEST(AccountQuotas, RetriesTakeNoToken)
+{
+  QuotaFleet fleet(kNodes, kServices, kRate, kBurst, 7);
+  for (auto& [id, target] : fleet.mFleet.mTargets) {
+    target->mShedShare = 0.3;
+  }
+  fleet.Offer(seconds(8), kRate, kNodes, kServices);
+  fleet.mFleet.RunFor(seconds(1));
+  std::uint64_t spent = 0;
+  std::uint64_t retries = 0;
+  for (auto& node : fleet.mFleet.mNodes) {
+    const QuotaSpender& spender = *node->mState.mQuota.mSpender;
+    spent += spender.mTaken - spender.mReturned;
+    retries += node->mState.mProxy.mCounters.mRetries;
+  }
+  CHECK(retries > 20);
+  CHECK(spent <= fleet.mOffered);
+  LONGS_EQUAL(0, fleet.mRefused);
+}
+
+TEST(AccountQuotas, AccountsWithoutARateCostNothing)
+{
+  QuotaFleet fleet(kNodes, kServices, 0, 0, 8);
+  std::uint64_t messages = 0;
+  fleet.mFleet.mIsLost =
+    [&](std::size_t, std::size_t, const Message& aMessage) {
+      messages += std::holds_alternative<QuotaReport>(aMessage) ? 1 : 0;
+      return false;
+    };
+  fleet.Offer(seconds(4), 200, kNodes, kServices);
+  LONGS_EQUAL(0, messages);
+  LONGS_EQUAL(0, fleet.mRefused);
+  for (auto& node : fleet.mFleet.mNodes) {
+    LONGS_EQUAL(0, node->mState.mQuota.mSpender->mBuckets.size());
+  }
+}
