Test each guard of the account quotas

Two guards had no test that failed without them: the lowest level that a new owner takes, and the parts of the level that many spenders get.

--- a/test/correctness/AccountQuotaBuckets.cpp
+++ b/test/correctness/AccountQuotaBuckets.cpp
@@ -236,17 +236,96 @@
   exchange.Take(0);
   exchange.Take(1);
   exchange.DeliverAll();
+  // The owner knows of the spending, but the second spender does not yet.
   for (int i = 0; i < 40; ++i) {
     exchange.Take(0);
   }
-  exchange.mLedger = QuotaLedger();
   exchange.mNow += milliseconds(110);
+  exchange.SendReports(0);
+  exchange.DeliverAll();
+  exchange.mNow += milliseconds(300);
+  exchange.mLedger = QuotaLedger();
+  exchange.mOwnedSince = exchange.mNow;
+  exchange.Take(1);
   exchange.SendReports(1);
   exchange.DeliverAll();
+  exchange.mNow += milliseconds(110);
+  exchange.Take(0);
   exchange.SendReports(0);
   exchange.DeliverAll();
   CHECK(exchange.mLedger.mEntries.at(kAccount).mLevel <
-        QuotaCapacity({ 10, 50 }) - 38);
+        QuotaCapacity({ 10, 50 }) - 35);
+}
+
+/** A spender that cannot reach the owner continues with its share. */
+TEST(QuotaBuckets, SilentSpendersAreAssumedToContinue)
+{
+  Exchange exchange(2, { 20, 50 });
+  for (int i = 0; i < 60; ++i) {
+    exchange.mNow += milliseconds(50);
+    exchange.Take(0);
+    exchange.SendReports(0);
+    exchange.DeliverAll();
+  }
+  for (int i = 0; i < 30; ++i) {
+    exchange.Take(0);
+  }
+  exchange.mNow += milliseconds(110);
+  exchange.SendReports(0);
+  exchange.DeliverAll();
+  double before = exchange.mLedger.mEntries.at(kAccount).mLevel;
+  exchange.mNow += seconds(2);
+  exchange.Take(1);
+  exchange.DeliverAll();
+  CHECK(exchange.mLedger.mEntries.at(kAccount).mLevel < before + 5);
+}
+
+TEST(QuotaBuckets, SpendersWithoutOwnerDivideTheLevel)
+{
+  Exchange exchange(2, { 10, 50 });
+  for (int i = 0; i < 10; ++i) {
+    exchange.mNow += milliseconds(110);
+    exchange.Take(0);
+    exchange.Take(1);
+    exchange.DeliverAll();
+  }
+  exchange.mSends.clear();
+  // Reports are sent, but none arrives any more.
+  exchange.Take(0);
+  exchange.Take(1);
+  exchange.mNow += milliseconds(410);
+  exchange.SendReports(0);
+  exchange.SendReports(1);
+  exchange.mNow += milliseconds(310);
+  for (int i = 0; i < 100; ++i) {
+    exchange.Take(0);
+    exchange.Take(1);
+  }
+  CHECK(static_cast<double>(exchange.mSends.size()) <=
+        QuotaCapacity({ 10, 50 }) + 5);
+}
+
+/** Many spenders that each take what they see would exceed it together. */
+TEST(QuotaBuckets, ManySpendersGetPartsOfTheLevel)
+{
+  constexpr int kSpenders = 40;
+  QuotaLedger ledger;
+  QuotaLevel level;
+  for (int i = 0; i < kSpenders; ++i) {
+    QuotaCount count;
+    count.mAccount = kAccount;
+    count.mEpoch = 1;
+    count.mSpent = 1;
+    level = LedgerReceive(ledger,
+                          kStart,
+                          NodeId(std::to_string(i)),
+                          1,
+                          count,
+                          { 10, 60 },
+                          kStart - seconds(60));
+  }
+  CHECK(level.mLevel > 10);
+  CHECK(level.mAllowance <= level.mLevel / 8);
 }
 
 TEST(QuotaBuckets, OwnerThatStartsWithoutKnowledgeGivesLittle)
--- a/test/correctness/AccountQuotasAreKept.cpp
+++ b/test/correctness/AccountQuotasAreKept.cpp
@@ -14,19 +14,6 @@
 /** An account's usual traffic: its rate is 1.6 times that. */
 constexpr double kUsual = kRate / 1.6;
 
-void
-Print(const char* aName, const QuotaFleet& aFleet)
-{
-  printf(
-    "%s: offered=%llu answered=%llu refused=%llu others=%llu excess=%.1f\n",
-    aName,
-    static_cast<unsigned long long>(aFleet.mOffered),
-    static_cast<unsigned long long>(aFleet.mAnswered),
-    static_cast<unsigned long long>(aFleet.mRefused),
-    static_cast<unsigned long long>(aFleet.mOthers),
-    aFleet.WorstExcess());
-}
-
 /** Returns what is sent of a load that lasts and exceeds the quota, if the
  * quota is used up exactly. */
 double
@@ -49,7 +36,6 @@
       QuotaFleet fleet(kNodes, kServices, kRate, kBurst, 1);
       fleet.Offer(seconds(12), kUsual, nodes, services);
       fleet.Offer(seconds(8), kRate, nodes, services);
-      Print("usual", fleet);
       LONGS_EQUAL(0, fleet.mRefused);
       CHECK(fleet.WorstExcess() <= 0);
     }
@@ -69,7 +55,6 @@
       std::uint64_t during = fleet.mSends.size() - before;
       std::uint64_t refused = fleet.mRefused;
       fleet.Offer(seconds(8), kUsual, kNodes, services);
-      Print("hot", fleet);
       CHECK(fleet.WorstExcess() <= 0);
       CHECK(static_cast<double>(during) >= 0.95 * Ideal(seconds(6)));
       CHECK(fleet.mRefused - refused < 5);
@@ -88,7 +73,6 @@
       }
       fleet.mFleet.RunFor(round == 0 ? seconds(3) : seconds(9));
     }
-    Print("burst", fleet);
     LONGS_EQUAL(0, fleet.mRefused);
     CHECK(fleet.WorstExcess() <= 0);
   }
@@ -124,7 +108,6 @@
   fleet.Offer(seconds(8), kRate * 2, kNodes, kServices);
   TimePoint from = fleet.mFleet.Now();
   fleet.Offer(seconds(10), kRate * 2, kNodes, kServices);
-  Print("lowered", fleet);
   double excess = fleet.WorstExcess(kRate / 4, kBurst / 4, from);
   CHECK(excess <= 0);
 }
@@ -146,7 +129,6 @@
     taken += node->mState.mQuota.mSpender->mTaken;
     returned += node->mState.mQuota.mSpender->mReturned;
   }
-  Print("unsent", fleet);
   CHECK(returned > 0);
   CHECK(taken - returned <= arrivals);
   CHECK(static_cast<double>(arrivals) < kRate * 10);
--- a/test/correctness/AccountQuotasSurviveFailures.cpp
+++ b/test/correctness/AccountQuotasSurviveFailures.cpp
@@ -14,19 +14,6 @@
 /** An account's usual traffic: its rate is 1.6 times that. */
 constexpr double kUsual = kRate / 1.6;
 
-void
-Print(const char* aName, const QuotaFleet& aFleet)
-{
-  printf(
-    "%s: offered=%llu answered=%llu refused=%llu others=%llu excess=%.1f\n",
-    aName,
-    static_cast<unsigned long long>(aFleet.mOffered),
-    static_cast<unsigned long long>(aFleet.mAnswered),
-    static_cast<unsigned long long>(aFleet.mRefused),
-    static_cast<unsigned long long>(aFleet.mOthers),
-    aFleet.WorstExcess());
-}
-
 /** Loads during which a node fails: the usual one, in which nothing may be
  * refused, and a crest. */
 struct Load
@@ -50,7 +37,6 @@
       fleet.Offer(seconds(6), load.mPerSecond, kNodes, kServices);
       fleet.mFleet.KillNode(fleet.OwnerIndex());
       fleet.Offer(seconds(8), load.mPerSecond, kNodes, kServices);
-      Print("owner lost", fleet);
       CHECK(fleet.mRefused <= load.mMaxRefused);
       CHECK(fleet.WorstExcess() <= 0);
     }
@@ -65,7 +51,6 @@
       fleet.Offer(seconds(6), load.mPerSecond, kNodes, kServices);
       fleet.mFleet.KillNode(SchedulerNodes(fleet.mFleet).front());
       fleet.Offer(seconds(8), load.mPerSecond, kNodes, kServices);
-      Print("scheduler lost", fleet);
       CHECK(fleet.mRefused <= load.mMaxRefused);
       CHECK(fleet.WorstExcess() <= 0);
     }
@@ -85,7 +70,6 @@
         fleet.mFleet.StartNode(i);
       }
       fleet.Offer(seconds(10), load.mPerSecond, kNodes, kServices);
-      Print("all lost", fleet);
       CHECK(fleet.mRefused <= load.mMaxRefused);
       CHECK(fleet.WorstExcess() <= 0);
     }
@@ -108,7 +92,6 @@
         return false;
       };
       fleet.Offer(seconds(8), load.mPerSecond, kNodes, kServices);
-      Print("partition", fleet);
       CHECK(fleet.mRefused <= load.mMaxRefused);
       CHECK(fleet.WorstExcess() <= 0);
     }
@@ -126,7 +109,6 @@
       fleet.Offer(seconds(3), load.mPerSecond, kNodes, kServices);
       fleet.mFleet.ResumeNode(node);
       fleet.Offer(seconds(6), load.mPerSecond, kNodes, kServices);
-      Print("pause", fleet);
       CHECK(fleet.mRefused <= load.mMaxRefused);
       CHECK(fleet.WorstExcess() <= 0);
     }
@@ -146,7 +128,6 @@
           return isQuota && RandomBelow(random, 4) == 0;
         };
       fleet.Offer(seconds(16), load.mPerSecond, kNodes, kServices);
-      Print("message loss", fleet);
       CHECK(fleet.mRefused <= load.mMaxRefused);
       CHECK(fleet.WorstExcess() <= 0);
     }
@@ -167,7 +148,6 @@
             return isCutOff || std::holds_alternative<LeaseRequest>(aMessage);
           };
         fleet.Offer(seconds(10), load.mPerSecond, kNodes, kServices);
-        Print(isCutOff ? "cut off" : "fallback", fleet);
         // A crest at nodes that are all cut off from each other exceeds the
         // bound; see "What is not kept" in docs/design/account-quotas.md.
         if (!isCutOff || load.mMaxRefused == 0) {
