--- a/test/correctness/AccountQuotasAreKept.cpp
+++ b/test/correctness/AccountQuotasAreKept.cpp
@@ -14,19 +14,6 @@
 /** An account's usual traffic: its rate is 1.6 times that. */
 constexpr double kUsual = kRate / 1.6;
 
-void
-Print(const char* aName, const QuotaFleet& aFleet)
-{
-  printf(
-    "%s: offered=%llu answered=%llu refused=%llu others=%llu excess=%.1f\n",
-    aName,
-    static_cast<unsigned long long>(aFleet.mOffered),
-    static_cast<unsigned long long>(aFleet.mAnswered),
-    static_cast<unsigned long long>(aFleet.mRefused),
-    static_cast<unsigned long long>(aFleet.mOthers),
-    aFleet.WorstExcess());
-}
-
 /** Returns what is sent of a load that lasts and exceeds the quota, if the
  * quota is used up exactly. */
 double
@@ -49,7 +36,6 @@
       QuotaFleet fleet(kNodes, kServices, kRate, kBurst, 1);
       fleet.Offer(seconds(12), kUsual, nodes, services);
       fleet.Offer(seconds(8), kRate, nodes, services);
-      Print("usual", fleet);
       LONGS_EQUAL(0, fleet.mRefused);
       CHECK(fleet.WorstExcess() <= 0);
     }
@@ -69,7 +55,6 @@
       std::uint64_t during = fleet.mSends.size() - before;
       std::uint64_t refused = fleet.mRefused;
       fleet.Offer(seconds(8), kUsual, kNodes, services);
-      Print("hot", fleet);
       CHECK(fleet.WorstExcess() <= 0);
       CHECK(static_cast<double>(during) >= 0.95 * Ideal(seconds(6)));
       CHECK(fleet.mRefused - refused < 5);
@@ -88,7 +73,6 @@
       }
       fleet.mFleet.RunFor(round == 0 ? seconds(3) : seconds(9));
     }
-    Print("burst", fleet);
     LONGS_EQUAL(0, fleet.mRefused);
     CHECK(fleet.WorstExcess() <= 0);
   }
@@ -124,7 +108,6 @@
   fleet.Offer(seconds(8), kRate * 2, kNodes, kServices);
   TimePoint from = fleet.mFleet.Now();
   fleet.Offer(seconds(10), kRate * 2, kNodes, kServices);
-  Print("lowered", fleet);
   double excess = fleet.WorstExcess(kRate / 4, kBurst / 4, from);
   CHECK(excess <= 0);
 }
@@ -146,9 +129,45 @@
     taken += node->mState.mQuota.mSpender->mTaken;
     returned += node->mState.mQuota.mSpender->mReturned;
   }
-  Print("unsent", fleet);
   CHECK(returned > 0);
   CHECK(taken - returned <= arrivals);
   CHECK(static_cast<double>(arrivals) < kRate * 10);
   LONGS_EQUAL(0, fleet.mRefused);
 }
+
+TEST(AccountQuotas, RetriesTakeNoToken)
+{
+  QuotaFleet fleet(kNodes, kServices, kRate, kBurst, 7);
+  for (auto& [id, target] : fleet.mFleet.mTargets) {
+    target->mShedShare = 0.3;
+  }
+  fleet.Offer(seconds(8), kRate, kNodes, kServices);
+  fleet.mFleet.RunFor(seconds(1));
+  std::uint64_t spent = 0;
+  std::uint64_t retries = 0;
+  for (auto& node : fleet.mFleet.mNodes) {
+    const QuotaSpender& spender = *node->mState.mQuota.mSpender;
+    spent += spender.mTaken - spender.mReturned;
+    retries += node->mState.mProxy.mCounters.mRetries;
+  }
+  CHECK(retries > 20);
+  CHECK(spent <= fleet.mOffered);
+  LONGS_EQUAL(0, fleet.mRefused);
+}
+
+TEST(AccountQuotas, AccountsWithoutARateCostNothing)
+{
+  QuotaFleet fleet(kNodes, kServices, 0, 0, 8);
+  std::uint64_t messages = 0;
+  fleet.mFleet.mIsLost =
+    [&](std::size_t, std::size_t, const Message& aMessage) {
+      messages += std::holds_alternative<QuotaReport>(aMessage) ? 1 : 0;
+      return false;
+    };
+  fleet.Offer(seconds(4), 200, kNodes, kServices);
+  LONGS_EQUAL(0, messages);
+  LONGS_EQUAL(0, fleet.mRefused);
+  for (auto& node : fleet.mFleet.mNodes) {
+    LONGS_EQUAL(0, node->mState.mQuota.mSpender->mBuckets.size());
+  }
+}
