Check more of a document before it is sent

Cause: "vanillascale check" printed faults only. An operator did not learn of entries that can never take effect, of limits that contradict each other, or of what a document changes.

Change: typed findings (DocumentReview), differences from the version in force in the log or the store, or from a file (DocumentDifferences), and a report as text or JSON (ReviewReport). Errors come from the parser and the checks that nodes use, shadowed routes from their route table. Lines of errors and exit code 2 stay as they were.

--- a/daemons/vanillascale.cpp
+++ b/daemons/vanillascale.cpp
@@ -1,13 +1,14 @@
+#include "CheckCommand.h"
 #include "ConfigHistory.h"
+#include "DocumentAccounts.h"
+#include "DocumentFile.h"
 #include "RequestKeys.h"
 
 #include <boost/program_options.hpp>
-#include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <random>
-#include <sstream>
 
 using namespace vanillascale;
 
@@ -15,9 +16,6 @@
 
 namespace options = boost::program_options;
 
-constexpr int kExitDone = 0;
-constexpr int kExitUsage = 1;
-constexpr int kExitDocument = 2;
 constexpr int kExitRefused = 3;
 constexpr int kExitPlatform = 4;
 constexpr int kExitNotInForce = 5;
@@ -25,7 +23,10 @@
 constexpr const char* kUsage =
   "usage: vanillascale COMMAND [options] [FILE]\n"
   "\n"
-  "  check FILE    print every fault of a document\n"
+  "  check FILE    print every fault of a document, what can never take "
+  "effect,\n"
+  "                and what differs from the version in force; --help "
+  "explains\n"
   "  diff FILE     print the objects in which FILE differs from what is in "
   "force\n"
   "  promote FILE  send just those objects to the environment's stream\n"
@@ -46,8 +47,11 @@
   std::string mWho;
   std::string mId;
   std::string mVmGroup;
+  std::string mAgainst;
   LogOffset mFrom = 0;
   unsigned mWaitMs = 0;
+  bool mIsStrict = false;
+  bool mIsJson = false;
 };
 
 options::options_description
@@ -74,6 +78,15 @@
   add("vm-group",
       options::value(&aArguments.mVmGroup),
       "the proxies' group in the VM list (VANILLASCALE_VM_GROUP)");
+  add("against",
+      options::value(&aArguments.mAgainst),
+      "check: a file to compare with if the platform can't be reached");
+  add("strict",
+      options::bool_switch(&aArguments.mIsStrict),
+      "check: exit with 1 if there are warnings");
+  add("json",
+      options::bool_switch(&aArguments.mIsJson),
+      "check: print the report as JSON");
   add("wait",
       options::value(&aArguments.mWaitMs),
       "promote: milliseconds to wait until it is in force on every node");
@@ -89,27 +102,6 @@
   }
 }
 
-std::optional<std::string>
-ReadFile(const std::string& aPath)
-{
-  std::ifstream in(aPath);
-  if (!in) {
-    std::cerr << aPath << ": can't be read\n";
-    return std::nullopt;
-  }
-  std::ostringstream text;
-  text << in.rdbuf();
-  return text.str();
-}
-
-void
-PrintFaults(const std::string& aFile, const std::vector<DocumentFault>& aFaults)
-{
-  for (const DocumentFault& it : aFaults) {
-    std::cerr << aFile << ": " << it.mPointer << " " << it.mProblem << "\n";
-  }
-}
-
 /** Reads and checks the file; prints its faults. */
 tl::expected<Document, int>
 LoadDocument(const std::string& aFile)
@@ -141,14 +133,11 @@
 int
 Check(const Arguments& aArguments)
 {
-  auto document = LoadDocument(aArguments.mFile);
-  if (!document) {
-    return document.error();
-  }
-  std::cout << "environment " << document->mEnvironment << ": "
-            << document->mServices.size() << " services, "
-            << document->mRoutes.size() << " routes, no faults\n";
-  return kExitDone;
+  return RunCheck({ aArguments.mFile,
+                    aArguments.mAgainst,
+                    aArguments.mPlatform,
+                    aArguments.mIsStrict,
+                    aArguments.mIsJson });
 }
 
 void
@@ -356,6 +345,20 @@
   return kExitDone;
 }
 
+/** Returns the value of a changed object for the audit. An account that another
+ * tool has written may hold its keys in plain text. */
+std::string
+FormatValue(const ObjectChange& aObject)
+{
+  if (aObject.mValue.empty()) {
+    return "removed";
+  }
+  if (aObject.mType == "account" && !ParseAccount(aObject.mValue)) {
+    return "an invalid account";
+  }
+  return aObject.mValue;
+}
+
 int
 Audit(const Arguments& aArguments)
 {
@@ -378,8 +381,7 @@
       for (const ObjectChange& object : change->mObjects) {
         std::cout << "  " << object.mType << "/" << object.mName
                   << " from version " << object.mBaseVersion << " to "
-                  << (object.mValue.empty() ? "removed" : object.mValue)
-                  << "\n";
+                  << FormatValue(object) << "\n";
       }
     }
   }
@@ -441,7 +443,11 @@
     return kExitUsage;
   }
   if (values.count("help") > 0) {
-    std::cout << kUsage << visible;
+    if (arguments.mCommand == "check") {
+      std::cout << kCheckUsage;
+    } else {
+      std::cout << kUsage << visible;
+    }
     return kExitDone;
   }
   TakeVariable(arguments.mPlatform, "VANILLASCALE_PLATFORM");
