--- a/test/failure/operators.sh
+++ b/test/failure/operators.sh
@@ -59,6 +59,17 @@
 "$build/vanillascale" status --platform $platform --vm-group proxies-kitakaze >"$run/status"
 check "status names all nodes" 3 "$(grep -c ' ready' "$run/status")"
 
+"$build/vanillascale" check "$document" --platform $platform --json >"$run/out"
+check "a check reads the version in force" 0 $?
+grep -q '"comparedWith": "offset ' "$run/out"
+check "and names its offset" 0 $?
+sed 's/"deadlineMs": 60000/&, "goalMs": 60001/' "$document" >"$run/goal.json"
+"$build/vanillascale" check "$run/goal.json" --against "$document" >"$run/out"
+check "warnings are no errors" 0 $?
+grep -q "changed route invoice-run: goalMs not set -> 60001" "$run/out"
+check "a check names what changed" 0 $?
+"$build/vanillascale" check "$run/goal.json" --strict >"$run/out"
+check "unless they are asked for" 1 $?
 for i in 01 02 03 04 05 06 07 08 09 10; do
   "$build/vanillascale" check "$root/test/error/broken-$i.json" 2>"$run/out"
   check "broken-$i is refused" 2 $?
