Warn if a document makes callers need keys from now on

A document with accounts over one without refuses all callers that send no key; the check named only the added accounts. DocumentsAreReviewed: 16 tests pass.

--- a/daemons/CheckCommand.cpp
+++ b/daemons/CheckCommand.cpp
@@ -158,9 +158,6 @@
   Document& from = aBaseline.mDocument;
   const Document& to = *aReport.mDocument;
   bool isFirst = from.mEnvironment.empty();
-  if (isFirst) {
-    from.mEnvironment = to.mEnvironment;
-  }
   if (aBaseline.mIsFromStream) {
     from.mLimits = to.mLimits;
     if (to.mLimits) {
--- a/src/DocumentDifferences.cpp
+++ b/src/DocumentDifferences.cpp
@@ -159,6 +159,16 @@
   }
 }
 
+std::size_t
+CountClosedRoutes(const Document& aDocument)
+{
+  std::size_t count = 0;
+  for (const auto& [name, route] : aDocument.mRoutes) {
+    count += route.mIsOpen ? 0 : 1;
+  }
+  return count;
+}
+
 } // namespace
 
 std::vector<ObjectDifference>
@@ -179,7 +189,8 @@
 ReviewTransition(const Document& aFrom, const Document& aTo)
 {
   std::vector<Finding> findings;
-  if (aFrom.mEnvironment != aTo.mEnvironment) {
+  bool isFirst = aFrom.mEnvironment.empty();
+  if (!isFirst && aFrom.mEnvironment != aTo.mEnvironment) {
     findings.push_back({ FindingSeverity::Error,
                          "/environment",
                          FindingKind::OtherEnvironment,
@@ -203,6 +214,19 @@
                          "the document has no accounts any more: requests of "
                          "all routes are served without a key" });
   }
+  // A first document refuses nobody who was served before.
+  bool hadRoutes = !aFrom.mRoutes.empty();
+  std::size_t closed = CountClosedRoutes(aTo);
+  if (hadRoutes && aFrom.mAccounts.empty() && !aTo.mAccounts.empty() &&
+      closed > 0) {
+    findings.push_back({ FindingSeverity::Warning,
+                         "/accounts",
+                         FindingKind::KeysNowNeeded,
+                         "the version in force has no accounts: from now on, "
+                         "requests of " +
+                           std::to_string(closed) +
+                           " routes are refused without a key" });
+  }
   return findings;
 }
 
--- a/src/DocumentDifferences.h
+++ b/src/DocumentDifferences.h
@@ -48,7 +48,8 @@
 CompareDocuments(const Document& aFrom, const Document& aTo);
 
 /** Returns what is remarkable in the step from the document in force to the
- * next. Pure; any thread. */
+ * next. A document without an environment stands for none in force. Pure; any
+ * thread. */
 std::vector<Finding>
 ReviewTransition(const Document& aFrom, const Document& aTo);
 
--- a/src/DocumentReview.cpp
+++ b/src/DocumentReview.cpp
@@ -420,6 +420,8 @@
       return "revision-not-newer";
     case FindingKind::KeysNoLongerNeeded:
       return "keys-no-longer-needed";
+    case FindingKind::KeysNowNeeded:
+      return "keys-now-needed";
     case FindingKind::LimitsNotSent:
       return "limits-not-sent";
     case FindingKind::NotCompared:
--- a/src/DocumentReview.h
+++ b/src/DocumentReview.h
@@ -45,6 +45,7 @@
   OtherEnvironment,
   RevisionNotNewer,
   KeysNoLongerNeeded,
+  KeysNowNeeded,
   LimitsNotSent,
   NotCompared
 };
--- a/test/correctness/DocumentsAreReviewed.cpp
+++ b/test/correctness/DocumentsAreReviewed.cpp
@@ -369,6 +369,10 @@
   next.mAccounts.clear();
   STRCMP_EQUAL("warning keys-no-longer-needed /accounts\n",
                Describe(ReviewTransition(from, next)).c_str());
+  next.mRevision = 0;
+  STRCMP_EQUAL("warning keys-now-needed /accounts\n",
+               Describe(ReviewTransition(next, Parse(CleanJson()))).c_str());
+  STRCMP_EQUAL("", Describe(ReviewTransition({}, Parse(CleanJson()))).c_str());
 }
 
 /** Guards against a report of a large document that nobody can read. */
