Concentrate requests on the targets that answered last

Cause: requests are spread over all targets, so that each gray period of each target is found by a request that fails.

Change: with the service's member concentrate (setting concentrate on the first users' platform, default off), requests go to a warm set of the targets that answered last. It is sized by the slots in use of each zone with a reserve, and is inactive when the demand comes near to the capacity. Other targets are probed by 1 to 5 percent of the idempotent requests. A failed probe does not count as a request that was not served: else the probes of gray targets keep the failure rate high, which causes more probes.

--- a/daemons/vanillascaled.cpp
+++ b/daemons/vanillascaled.cpp
@@ -30,10 +30,12 @@
 PlatformAdapter
 AdapterFor(const Settings& aSettings)
 {
-  return aSettings.mPlatformApi == PlatformApi::Store
-           ? MakeStoreAdapter(aSettings.mEnvironment,
-                              ParsePlatformSettings(aSettings.mPlatformTerms))
-           : MakeLogAdapter();
+  if (aSettings.mPlatformApi != PlatformApi::Store) {
+    return MakeLogAdapter();
+  }
+  PlatformSettings terms = ParsePlatformSettings(aSettings.mPlatformTerms);
+  terms.mConcentrate = aSettings.mConcentrate;
+  return MakeStoreAdapter(aSettings.mEnvironment, terms);
 }
 
 /** Reads the settings again: the file may have changed. */
--- a/src/Document.cpp
+++ b/src/Document.cpp
@@ -33,6 +33,7 @@
     reader.ReadUnsigned("retryPercent", 0, kMaxPercent, kDefaultRetryPercent);
   service.mRetryBurst =
     reader.ReadUnsigned("retryBurst", 0, kMaxRetryBurst, kDefaultRetryBurst);
+  service.mConcentrate = reader.ReadBool("concentrate", false);
   reader.RejectUnknownMembers();
   return service;
 }
@@ -286,6 +287,9 @@
   if (aService.mRetryBurst != kDefaultRetryBurst) {
     json["retryBurst"] = aService.mRetryBurst;
   }
+  if (aService.mConcentrate) {
+    json["concentrate"] = true;
+  }
   return json.dump();
 }
 
--- a/src/Document.h
+++ b/src/Document.h
@@ -56,6 +56,8 @@
   /** The log offset of the change that last replaced this object; 0 if no
    * change has replaced it. */
   LogOffset mVersion = 0;
+  /** Whether requests are concentrated on the targets that answered last. */
+  bool mConcentrate = false;
   MSGPACK_DEFINE(mName,
                  mVmGroup,
                  mFloorPercent,
@@ -63,7 +65,8 @@
                  mGuaranteedPercent,
                  mRetryPercent,
                  mRetryBurst,
-                 mVersion)
+                 mVersion,
+                 mConcentrate)
 };
 
 /** The weight with which a route's requests are sent to a service. */
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -3,6 +3,7 @@
 #include "SchedulerAdmission.h"
 #include "SchedulerEvidence.h"
 #include "SchedulerPlacement.h"
+#include "TargetConcentration.h"
 
 #include <algorithm>
 #include <cmath>
@@ -96,6 +97,21 @@
   aState.mLastClientMessageAt = aNow;
 }
 
+/** Returns the number of slots in use, and of queued requests, by the zone of
+ * the proxy. */
+std::map<ZoneName, unsigned>
+CountSlotsInUse(const SchedulerState& aState)
+{
+  std::map<ZoneName, unsigned> counts;
+  for (const auto& it : aState.mLeases) {
+    ++counts[it.second.mZone];
+  }
+  for (const auto& it : aState.mQueue.mEntries) {
+    ++counts[it.second.mZone];
+  }
+  return counts;
+}
+
 } // namespace
 
 ActiveLease
@@ -270,6 +286,11 @@
   aState.mPool.mHasHighFailureRate = HasHighFailureRate(aState);
   aState.mPool.mHasVeryHighFailureRate = HasVeryHighFailureRate(aState);
   LogTargetChanges(aState, PoolTick(aState.mPool, aNow), aEffects);
+  UpdateWarmSet(aState.mPool,
+                aNow,
+                aSettings.mConcentrate,
+                aSettings.mConcentrate ? CountSlotsInUse(aState)
+                                       : std::map<ZoneName, unsigned>());
   if (aNow >= aState.mNextScanAt) {
     aState.mNextScanAt = aNow + kScanInterval;
     ScanLeases(aState, aNow, aEffects);
--- a/src/SchedulerAdmission.cpp
+++ b/src/SchedulerAdmission.cpp
@@ -126,8 +126,10 @@
        Effects& aEffects)
 {
   ++aState.mCounters.mRefusals[static_cast<std::size_t>(aReason)];
+  bool isLostRetry =
+    aReason == RefusalReason::RetryBudget && aState.mPool.mWarmSet.mIsEnabled;
   if (aReason == RefusalReason::Overload ||
-      aReason == RefusalReason::NoTarget) {
+      aReason == RefusalReason::NoTarget || isLostRetry) {
     CountRecentRequest(aState, aNow, false);
   }
   aEffects.push_back(WriteEvent{
--- a/src/SchedulerEvidence.cpp
+++ b/src/SchedulerEvidence.cpp
@@ -264,7 +264,7 @@
   bool isUnserved = aReport.mOutcome == TargetOutcome::ServerError ||
                     aReport.mOutcome == TargetOutcome::Broken ||
                     aReport.mOutcome == TargetOutcome::TimedOut;
-  if (isServed || isUnserved) {
+  if (isServed || (isUnserved && !aLease.mIsProbe)) {
     CountRecentRequest(aState, aNow, isServed);
   }
   if (aReport.mOutcome == TargetOutcome::Answered) {
--- a/src/SchedulerPlacement.cpp
+++ b/src/SchedulerPlacement.cpp
@@ -3,6 +3,7 @@
 #include "SchedulerEvidence.h"
 #include "TargetArrivals.h"
 #include "TargetChoice.h"
+#include "TargetConcentration.h"
 
 #include <algorithm>
 #include <cmath>
@@ -40,6 +41,9 @@
                 aSettings.mGuaranteedPercent);
   PooledTarget& target = aState.mPool.mTargets[aTarget];
   ++(request.mIsLong ? target.mBusyLongSlots : target.mBusyShortSlots);
+  bool mayProbe =
+    request.mIsIdempotent && !request.mIsRetry && !request.mIsLong;
+  bool isProbe = RecordConcentratedGrant(aState.mPool, target, mayProbe);
   RecordGrant(target, aNow);
   TakeToken(target.mLimit, aNow);
   LeaseId id = (aState.mEpoch << kEpochShift) | ++aState.mLeaseCount;
@@ -52,6 +56,7 @@
   lease.mRoute = request.mRoute;
   lease.mIsLong = request.mIsLong;
   lease.mIsIdempotent = request.mIsIdempotent;
+  lease.mIsProbe = isProbe;
   lease.mPriority = aKey.mPriority;
   lease.mChargedTime = ExpectedSlotTime(aState);
   lease.mFingerprint = request.mFingerprint;
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -149,6 +149,13 @@
   return aText == "true" || aText == "false";
 }
 
+bool
+SetConcentrate(Settings& aSettings, const std::string& aText)
+{
+  aSettings.mConcentrate = aText == "true";
+  return aText == "true" || aText == "false";
+}
+
 bool
 SetPlacement(Settings& aSettings, const std::string& aText)
 {
@@ -285,6 +292,13 @@
       "chooses targets locally",
       "lease or alone",
       SetPlacement },
+    { "concentrate",
+      "false",
+      "whether requests are concentrated on the targets that answered last, "
+      "for "
+      "services of the platform interface store",
+      "true or false",
+      SetConcentrate },
     { "cores",
       "1",
       "the CPU share that the VM grants; duties are assigned to VMs "
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -69,6 +69,10 @@
   bool mIsFirstStart = false;
   /** Whether targets are chosen locally, without schedulers. */
   bool mChoosesLocally = false;
+  /** Whether services of the platform with the interface Store concentrate
+   * their requests on the targets that answered last. On other platforms the
+   * document says so for each service. */
+  bool mConcentrate = false;
   /** The CPU share that the VM grants, in percent of a core. */
   unsigned mCorePercent = 0;
 };
--- a/src/TargetChoice.cpp
+++ b/src/TargetChoice.cpp
@@ -1,6 +1,7 @@
 #include "TargetChoice.h"
 
 #include "TargetArrivals.h"
+#include "TargetConcentration.h"
 
 #include <algorithm>
 #include <tuple>
@@ -23,6 +24,8 @@
  * receives one that must not be repeated. Otherwise the trial would never end
  * at a service without idempotent requests. */
 constexpr Duration kMaxTrialIdleTime = milliseconds(2000);
+/** The loads of zones are compared in steps of this many percent. */
+constexpr unsigned kZoneLoadStep = 10;
 constexpr unsigned kRiskPenalized = 1;
 constexpr unsigned kRiskUnreachable = 2;
 
@@ -32,11 +35,14 @@
   /** 0, kRiskPenalized or kRiskUnreachable. */
   unsigned mRisk = 0;
   bool mIsSuspect = false;
+  /** kRankWarm unless requests are concentrated. */
+  unsigned mWarmRank = 0;
   unsigned mBusyLongSlots = 0;
   /** The request would use the target's last free slot. Full targets are
    * slower. */
   bool mTakesLastSlot = false;
-  bool mIsOtherZone = false;
+  /** 0 for the request's own zone. */
+  unsigned mZoneRank = 0;
   unsigned mLoadPercent = 0;
   /** For requests that may be probes, the time of the target's last request, so
    * that the least recently used goes first. For others, the negated time of
@@ -48,9 +54,10 @@
     auto tie = [](const Preference& aIt) {
       return std::tie(aIt.mRisk,
                       aIt.mIsSuspect,
+                      aIt.mWarmRank,
                       aIt.mBusyLongSlots,
                       aIt.mTakesLastSlot,
-                      aIt.mIsOtherZone,
+                      aIt.mZoneRank,
                       aIt.mLoadPercent,
                       aIt.mTieBreak);
     };
@@ -84,7 +91,7 @@
     aOpen + std::min(aTarget.mStalledSlots, kMaxProbesPerTarget);
   bool isTrialIdle = aTarget.mState == TargetState::Trial &&
                      IsArrivalOverdue(aTarget, aNow, kMaxTrialIdleTime);
-  bool mayProbe = aDemand.mMayProbe || isTrialIdle;
+  bool mayProbe = (aDemand.mMayProbe && HasProbeBudget(aPool)) || isTrialIdle;
   if (!mayProbe || BusySlotsOf(aTarget) >= maxBusy ||
       IsInBackoff(aTarget.mPenalty, aNow, aPool.mProbeInterval)) {
     return false;
@@ -107,7 +114,8 @@
                   TimePoint aNow,
                   const SlotDemand& aDemand)
 {
-  return aDemand.mMayProbe && BusySlotsOf(aTarget) == 0 &&
+  return aDemand.mMayProbe && HasProbeBudget(aPool) &&
+         BusySlotsOf(aTarget) == 0 &&
          IsProbeDue(aTarget.mPenalty, aNow, aPool.mProbeInterval);
 }
 
@@ -131,7 +139,7 @@
   bool isServingUnpenalized = aTarget.mState == TargetState::Serving &&
                               !IsPenalized(aTarget.mPenalty, aNow);
   bool isStale = isServingUnpenalized && aDemand.mMayProbe &&
-                 BusySlotsOf(aTarget) == 0 &&
+                 HasProbeBudget(aPool) && BusySlotsOf(aTarget) == 0 &&
                  aNow - aTarget.mLastRequestAt >= kMaxIdleTime;
   bool isRisk = !isServingUnpenalized && !aDemand.mMayProbe;
   bool isHigh =
@@ -140,7 +148,10 @@
                          (isRisk ? kExtraIdleTimeIfNotIdempotent : Duration(0));
   bool isOverdue = isHigh && BusySlotsOf(aTarget) < aOpen &&
                    IsArrivalOverdue(aTarget, aNow, maxIdleTime);
-  return isStale || isOverdue;
+  bool isWarmUpDue = aPool.mWarmSet.mIsActive && isServingUnpenalized &&
+                     BusySlotsOf(aTarget) < aOpen &&
+                     IsWarmUpProbeDue(aTarget, aNow, aDemand.mMayProbe);
+  return isStale || isOverdue || isWarmUpDue;
 }
 
 /** Returns whether a target on trial may receive another request: as the last
@@ -152,6 +163,31 @@
          ActiveSlotsOf(aTarget) < 1 + aTarget.mTrialSuccesses;
 }
 
+/** Sets the order of a target with a free slot while requests are concentrated:
+ * the warm set first, then the request's own zone. In the warm set, requests
+ * that may be probes go to the least recently used target, so that they find a
+ * gray period before others do. Requests that must not be repeated go to the
+ * target with the latest success, and so do all outside of the warm set. Other
+ * zones are ranked by their load in steps, so that each takes its part. */
+void
+SetConcentratedOrder(Preference& aPreference,
+                     const PooledTarget& aTarget,
+                     TimePoint aNow,
+                     const SlotDemand& aDemand,
+                     bool aTakesLastSlot)
+{
+  aPreference.mWarmRank = WarmRankOf(aTarget, aNow);
+  if (aPreference.mZoneRank > 0) {
+    aPreference.mZoneRank += aTarget.mZoneLoadPercent / kZoneLoadStep;
+  }
+  bool isLeastRecentFirst =
+    aDemand.mMayProbe && aPreference.mWarmRank == kRankWarm;
+  aPreference.mLoadPercent = isLeastRecentFirst && aTakesLastSlot ? 1 : 0;
+  aPreference.mTieBreak =
+    isLeastRecentFirst ? aTarget.mLastRequestAt.time_since_epoch()
+                       : -aTarget.mPenalty.mLastSuccessAt.time_since_epoch();
+}
+
 std::optional<Preference>
 PreferenceFor(const TargetPool& aPool,
               const PooledTarget& aTarget,
@@ -164,7 +200,9 @@
     // The least recently used target goes first, so that each is probed in
     // turn.
     Preference preference;
-    preference.mTieBreak = aTarget.mLastRequestAt.time_since_epoch();
+    preference.mTieBreak = aPool.mWarmSet.mIsActive
+                             ? ProbeOrderOf(aTarget, aNow)
+                             : aTarget.mLastRequestAt.time_since_epoch();
     return preference;
   }
   bool isOnTrial = aTarget.mState == TargetState::Trial;
@@ -186,7 +224,8 @@
     preference.mRisk = kRiskUnreachable;
   }
   preference.mIsSuspect = aTarget.mEvidence.mIsSuspect;
-  preference.mIsOtherZone = aTarget.mZone != aDemand.mZone;
+  bool isOtherZone = aTarget.mZone != aDemand.mZone;
+  preference.mZoneRank = isOtherZone ? 1 : 0;
   if (aDemand.mMayQueueAtTarget) {
     bool hasShortWork = 2 * aTarget.mBusyLongSlots < open;
     bool fits = hasShortWork && BusySlotsOf(aTarget) < open + 1;
@@ -197,7 +236,12 @@
     return std::nullopt;
   }
   preference.mBusyLongSlots = aDemand.mIsLong ? aTarget.mBusyLongSlots : 0;
-  preference.mTakesLastSlot = open > 1 && BusySlotsOf(aTarget) + 1 >= open;
+  bool takesLastSlot = open > 1 && BusySlotsOf(aTarget) + 1 >= open;
+  if (aPool.mWarmSet.mIsActive) {
+    SetConcentratedOrder(preference, aTarget, aNow, aDemand, takesLastSlot);
+    return preference;
+  }
+  preference.mTakesLastSlot = takesLastSlot;
   preference.mLoadPercent = 100 * BusySlotsOf(aTarget) / open;
   preference.mTieBreak =
     aDemand.mMayProbe ? aTarget.mLastRequestAt.time_since_epoch()
--- /dev/null
+++ b/src/TargetConcentration.cpp
@@ -0,0 +1,275 @@
+#include "TargetConcentration.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace vanillascale {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** The time constant with which the demand of a zone falls. Waves of the load
+ * last several seconds. */
+constexpr Duration kDemandFallTime = seconds(3);
+/** The reserve of a zone, in units of the square root of its demand, which is
+ * the standard deviation of the slots in use at random arrivals. */
+constexpr double kReserveStdDevs = 1.0;
+/** The reserve of a zone with little demand, in slots. */
+constexpr double kMinReserve = 1.0;
+/** The concentration is inactive if the warm set would have more than this
+ * share of the slots of the targets without recent failures. */
+constexpr double kMaxWarmShare = 0.85;
+/** The probes of targets outside of the warm set, as a share of the idempotent
+ * requests: while the other targets have as many slots as the warm set, and
+ * while they have none. */
+constexpr double kMinProbeShare = 0.01;
+constexpr double kMaxProbeShare = 0.05;
+/** The probes that the budget holds at most. More would be sent at once. */
+constexpr double kMaxProbeTokens = 3;
+/** Requests beyond the warm set use up the budget of this many probes at most.
+ */
+constexpr double kMinProbeTokens = -10;
+/** A target whose latest answer is a failure ranks last for this time. Gray
+ * periods last up to 9 s, most of them less. */
+constexpr Duration kFailureMemory = seconds(6);
+/** Targets of the warm set keep their place unless another target has answered
+ * this much later. */
+constexpr Duration kWarmBonus = seconds(1);
+/** A target is new for this time. */
+constexpr Duration kNewTargetTime = seconds(4);
+/** While a target is new or warms up, it is probed after this time. */
+constexpr Duration kWarmUpIdleTime = milliseconds(1500);
+/** The same by requests that must not be repeated, if no other comes. */
+constexpr Duration kWarmUpIdleTimeIfNotIdempotent = milliseconds(2500);
+/** The usual number of slots of a target. */
+constexpr unsigned kUsualSlots = 2;
+
+bool
+HasFailedRecently(const PooledTarget& aTarget, TimePoint aNow)
+{
+  const FailurePenalty& penalty = aTarget.mPenalty;
+  return penalty.mLastFailureAt > penalty.mLastSuccessAt &&
+         aNow - penalty.mLastFailureAt < kFailureMemory;
+}
+
+/** A target that may be in the warm set. */
+struct Candidate
+{
+  PooledTarget* mTarget = nullptr;
+  unsigned mSlots = 0;
+  bool mHasFailed = false;
+  /** The latest success, later for targets that are in the warm set. */
+  TimePoint mAnsweredAt{};
+};
+
+/** The targets and the demand of one zone. */
+struct ZoneRoom
+{
+  std::vector<Candidate> mCandidates;
+  double mSlots = 0;
+  /** The slots that the zone's part of the warm set should have. */
+  double mWanted = 0;
+  unsigned mBusySlots = 0;
+};
+
+using ZoneRooms = std::map<ZoneName, ZoneRoom>;
+
+void
+UpdateDemand(WarmSet& aWarmSet,
+             TimePoint aNow,
+             const std::map<ZoneName, unsigned>& aSlotsInUse)
+{
+  double elapsed = static_cast<double>((aNow - aWarmSet.mUpdatedAt).count()) /
+                   static_cast<double>(kDemandFallTime.count());
+  double kept = std::exp(-elapsed);
+  aWarmSet.mUpdatedAt = aNow;
+  for (const auto& it : aSlotsInUse) {
+    aWarmSet.mDemand.try_emplace(it.first, 0);
+  }
+  for (auto it = aWarmSet.mDemand.begin(); it != aWarmSet.mDemand.end();) {
+    auto used = aSlotsInUse.find(it->first);
+    double n = used == aSlotsInUse.end() ? 0 : used->second;
+    it->second = std::max(n, n + (it->second - n) * kept);
+    bool isUnused = n == 0 && it->second < 0.01;
+    it = isUnused ? aWarmSet.mDemand.erase(it) : std::next(it);
+  }
+}
+
+/** Returns the candidates for the warm set by zone, and sets the load of each
+ * target's zone. */
+ZoneRooms
+CollectCandidates(TargetPool& aPool, TimePoint aNow)
+{
+  ZoneRooms rooms;
+  for (auto& it : aPool.mTargets) {
+    PooledTarget& target = it.second;
+    ZoneRoom& room = rooms[target.mZone];
+    room.mBusySlots += BusySlotsOf(target);
+    unsigned open = OpenSlotsOf(target, aNow);
+    bool isCandidate =
+      target.mState == TargetState::Serving && open > 0 &&
+      !IsLeavingOrDraining(target, aNow) && !target.mEvidence.mIsSuspect &&
+      !IsPenalized(target.mPenalty, aNow) && AllowsRequest(target.mLimit, aNow);
+    if (isCandidate) {
+      TimePoint answeredAt = target.mPenalty.mLastSuccessAt +
+                             (target.mIsWarm ? kWarmBonus : Duration(0));
+      room.mCandidates.push_back(
+        { &target, open, HasFailedRecently(target, aNow), answeredAt });
+      room.mSlots += open;
+    }
+  }
+  for (auto& it : aPool.mTargets) {
+    const ZoneRoom& room = rooms[it.second.mZone];
+    it.second.mZoneLoadPercent =
+      100 * room.mBusySlots / std::max(1U, static_cast<unsigned>(room.mSlots));
+    it.second.mIsWarm = false;
+  }
+  return rooms;
+}
+
+/** Sets the slots that each zone's part of the warm set should have. What a
+ * zone lacks is taken evenly from the others. */
+void
+DistributeDemand(const WarmSet& aWarmSet, ZoneRooms& aRooms)
+{
+  double lacking = 0;
+  for (const auto& [zone, demand] : aWarmSet.mDemand) {
+    double wanted = demand + kReserveStdDevs * std::sqrt(demand) + kMinReserve;
+    auto it = aRooms.find(zone);
+    double own = it == aRooms.end() ? 0 : std::min(wanted, it->second.mSlots);
+    if (it != aRooms.end()) {
+      it->second.mWanted = own;
+    }
+    lacking += wanted - own;
+  }
+  // Each pass fills at least one zone or ends.
+  for (std::size_t n = 0; n < aRooms.size() && lacking > 0; ++n) {
+    auto isFree = [](const auto& aEntry) {
+      return aEntry.second.mWanted < aEntry.second.mSlots;
+    };
+    auto count = std::count_if(aRooms.begin(), aRooms.end(), isFree);
+    double each = count > 0 ? lacking / static_cast<double>(count) : 0;
+    for (auto& it : aRooms) {
+      double taken = std::min(each, it.second.mSlots - it.second.mWanted);
+      it.second.mWanted += taken;
+      lacking -= taken;
+    }
+  }
+}
+
+/** Puts the targets that answered last into the warm set, as many as the zone
+ * wants. */
+void
+ChooseWarmTargets(ZoneRoom& aRoom)
+{
+  std::sort(aRoom.mCandidates.begin(),
+            aRoom.mCandidates.end(),
+            [](const Candidate& aLeft, const Candidate& aRight) {
+              return aLeft.mHasFailed != aRight.mHasFailed
+                       ? !aLeft.mHasFailed
+                       : aLeft.mAnsweredAt > aRight.mAnsweredAt;
+            });
+  double slots = 0;
+  for (const Candidate& it : aRoom.mCandidates) {
+    if (slots >= aRoom.mWanted) {
+      return;
+    }
+    it.mTarget->mIsWarm = true;
+    slots += it.mSlots;
+  }
+}
+
+} // namespace
+
+void
+UpdateWarmSet(TargetPool& aPool,
+              TimePoint aNow,
+              bool aIsEnabled,
+              const std::map<ZoneName, unsigned>& aSlotsInUse)
+{
+  WarmSet& warmSet = aPool.mWarmSet;
+  if (!aIsEnabled) {
+    warmSet = {};
+    return;
+  }
+  warmSet.mIsEnabled = true;
+  UpdateDemand(warmSet, aNow, aSlotsInUse);
+  ZoneRooms rooms = CollectCandidates(aPool, aNow);
+  DistributeDemand(warmSet, rooms);
+  double wanted = 0;
+  double slots = 0;
+  for (auto& it : rooms) {
+    wanted += it.second.mWanted;
+    slots += it.second.mSlots;
+  }
+  warmSet.mIsActive = wanted <= kMaxWarmShare * slots;
+  if (!warmSet.mIsActive) {
+    return;
+  }
+  double need =
+    std::clamp((2 * wanted - slots) / std::max(1.0, wanted), 0., 1.);
+  warmSet.mProbeShare =
+    kMinProbeShare + need * (kMaxProbeShare - kMinProbeShare);
+  for (auto& it : rooms) {
+    ChooseWarmTargets(it.second);
+  }
+}
+
+bool
+RecordConcentratedGrant(TargetPool& aPool,
+                        PooledTarget& aTarget,
+                        bool aMayProbe)
+{
+  WarmSet& warmSet = aPool.mWarmSet;
+  if (!warmSet.mIsActive) {
+    return false;
+  }
+  bool isProbe = aMayProbe && !aTarget.mIsWarm;
+  if (aMayProbe) {
+    double tokens =
+      warmSet.mProbeTokens + warmSet.mProbeShare - (isProbe ? 1 : 0);
+    warmSet.mProbeTokens = std::clamp(tokens, kMinProbeTokens, kMaxProbeTokens);
+  }
+  aTarget.mIsWarm = true;
+  return isProbe;
+}
+
+bool
+HasProbeBudget(const TargetPool& aPool)
+{
+  return !aPool.mWarmSet.mIsActive || aPool.mWarmSet.mProbeTokens >= 1;
+}
+
+unsigned
+WarmRankOf(const PooledTarget& aTarget, TimePoint aNow)
+{
+  if (HasFailedRecently(aTarget, aNow)) {
+    return kRankFailed;
+  }
+  return aTarget.mIsWarm ? kRankWarm : kRankCold;
+}
+
+bool
+IsWarmUpProbeDue(const PooledTarget& aTarget, TimePoint aNow, bool aMayProbe)
+{
+  bool isNew =
+    aTarget.mNeedsWarmUp && aNow - aTarget.mFirstSeenAt < kNewTargetTime;
+  bool isWarmingUp = isNew || aNow < aTarget.mReportedWarmUpUntil;
+  TimePoint since = std::max(aTarget.mFirstSeenAt, aTarget.mLastRequestAt);
+  return isWarmingUp &&
+         aNow - since >=
+           (aMayProbe ? kWarmUpIdleTime : kWarmUpIdleTimeIfNotIdempotent);
+}
+
+Duration
+ProbeOrderOf(const PooledTarget& aTarget, TimePoint aNow)
+{
+  // Below the negated time of any success, by which other targets are ordered.
+  return -aNow.time_since_epoch() -
+         (aNow - aTarget.mLastRequestAt) * aTarget.mSlots / kUsualSlots;
+}
+
+} // namespace vanillascale
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -4,6 +4,7 @@
 #include "FailurePenalty.h"
 #include "NodeEvents.h"
 #include "TargetEvidence.h"
+#include "WarmSet.h"
 
 #include <map>
 #include <optional>
@@ -95,6 +96,11 @@
    */
   unsigned mTrialSuccesses = 0;
   std::map<ZoneName, AvoidedPath> mAvoidedPaths;
+  /** The target is one of the warm set, on which requests are concentrated. */
+  bool mIsWarm = false;
+  /** The busy slots of the target's zone, in percent of the slots of its
+   * targets without a failure penalty. Set while requests are concentrated. */
+  unsigned mZoneLoadPercent = 0;
 };
 
 /** The targets of one service. */
@@ -119,6 +125,7 @@
   std::size_t mActiveZoneCount = 1;
   /** A VM list has been read. */
   bool mHasVmList = false;
+  WarmSet mWarmSet;
 };
 
 /** A change of the state of a target, or of a path to it, for the log. */
