Read a hedge budget from documents and settings

Second sends of slow requests need a limit that operators set. A document states hedgePercent for a service and, lower, for a route; on the first users' platform the setting hedge-percent applies to every service. 0, the default, means no hedges. Both members are written only where they are set, and entries of nodes that do not know them are read with the default.

--- a/daemons/vanillascaled.cpp
+++ b/daemons/vanillascaled.cpp
@@ -30,10 +30,12 @@
 PlatformAdapter
 AdapterFor(const Settings& aSettings)
 {
-  return aSettings.mPlatformApi == PlatformApi::Store
-           ? MakeStoreAdapter(aSettings.mEnvironment,
-                              ParsePlatformSettings(aSettings.mPlatformTerms))
-           : MakeLogAdapter();
+  if (aSettings.mPlatformApi == PlatformApi::Log) {
+    return MakeLogAdapter();
+  }
+  PlatformSettings platform = ParsePlatformSettings(aSettings.mPlatformTerms);
+  platform.mHedgePercent = aSettings.mHedgePercent;
+  return MakeStoreAdapter(aSettings.mEnvironment, platform);
 }
 
 /** Reads the settings again: the file may have changed. */
--- a/src/Document.cpp
+++ b/src/Document.cpp
@@ -33,6 +33,8 @@
     reader.ReadUnsigned("retryPercent", 0, kMaxPercent, kDefaultRetryPercent);
   service.mRetryBurst =
     reader.ReadUnsigned("retryBurst", 0, kMaxRetryBurst, kDefaultRetryBurst);
+  service.mHedgePercent =
+    reader.ReadUnsigned("hedgePercent", 0, kMaxPercent, 0U);
   reader.RejectUnknownMembers();
   return service;
 }
@@ -117,6 +119,10 @@
   route.mAttempts =
     reader.ReadUnsigned("attempts", 1, kMaxAttempts, kDefaultAttempts);
   route.mIsOpen = reader.ReadBool("open", false);
+  if (aObject.is_object() && aObject.contains("hedgePercent")) {
+    route.mHedgePercent =
+      reader.ReadUnsigned("hedgePercent", 0, kMaxPercent, std::nullopt);
+  }
   reader.RejectUnknownMembers();
   return route;
 }
@@ -286,6 +292,9 @@
   if (aService.mRetryBurst != kDefaultRetryBurst) {
     json["retryBurst"] = aService.mRetryBurst;
   }
+  if (aService.mHedgePercent != 0) {
+    json["hedgePercent"] = aService.mHedgePercent;
+  }
   return json.dump();
 }
 
@@ -333,6 +342,9 @@
   if (aRoute.mIsOpen) {
     json["open"] = true;
   }
+  if (aRoute.mHedgePercent) {
+    json["hedgePercent"] = *aRoute.mHedgePercent;
+  }
   return json.dump();
 }
 
--- a/src/Document.h
+++ b/src/Document.h
@@ -56,6 +56,9 @@
   /** The log offset of the change that last replaced this object; 0 if no
    * change has replaced it. */
   LogOffset mVersion = 0;
+  /** The hedge budget: second sends of slow requests, in percent of the
+   * requests; 0 for none. Each also counts against the retry budget. */
+  unsigned mHedgePercent = 0;
   MSGPACK_DEFINE(mName,
                  mVmGroup,
                  mFloorPercent,
@@ -63,7 +66,8 @@
                  mGuaranteedPercent,
                  mRetryPercent,
                  mRetryBurst,
-                 mVersion)
+                 mVersion,
+                 mHedgePercent)
 };
 
 /** The weight with which a route's requests are sent to a service. */
@@ -112,6 +116,9 @@
   /** The log offset of the change that last replaced this object; 0 if no
    * change has replaced it. */
   LogOffset mVersion = 0;
+  /** The hedge budget of the route, in percent of its requests, where it is
+   * lower than that of the service. */
+  std::optional<unsigned> mHedgePercent;
   MSGPACK_DEFINE(mName,
                  mService,
                  mShares,
@@ -127,7 +134,8 @@
                  mGoal,
                  mAttempts,
                  mVersion,
-                 mIsOpen)
+                 mIsOpen,
+                 mHedgePercent)
 };
 
 /** Limits on the requests and connections of callers. */
--- a/src/DocumentChecks.cpp
+++ b/src/DocumentChecks.cpp
@@ -94,6 +94,8 @@
     pointer + "/retryPercent", aService.mRetryPercent, 0, kMaxPercent, aFaults);
   CheckRange(
     pointer + "/retryBurst", aService.mRetryBurst, 0, kMaxRetryBurst, aFaults);
+  CheckRange(
+    pointer + "/hedgePercent", aService.mHedgePercent, 0, kMaxPercent, aFaults);
 }
 
 void
@@ -125,6 +127,11 @@
   CheckMilliseconds(
     pointer + "/goalMs", aRoute.mGoal, 0, kMaxDeadlineMs, aFaults);
   CheckRange(pointer + "/attempts", aRoute.mAttempts, 1, kMaxAttempts, aFaults);
+  CheckRange(pointer + "/hedgePercent",
+             aRoute.mHedgePercent.value_or(0),
+             0,
+             kMaxPercent,
+             aFaults);
 }
 
 } // namespace
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -38,6 +38,8 @@
 /** Bounds of the setting max-callers, in connections. */
 constexpr unsigned long kMinCallers = 4;
 constexpr unsigned long kMaxCallers = 4096;
+/** Upper bound of the setting hedge-percent. */
+constexpr unsigned long kMaxHedgePercent = 100;
 /** Upper bound of the setting stop-within-ms. */
 constexpr unsigned long kMaxStopMs = 600000;
 
@@ -312,6 +314,12 @@
       "the maximum number of open caller connections",
       "a number from 4 to 4096",
       NumberSetter(&Settings::mMaxCallers, kMinCallers, kMaxCallers) },
+    { "hedge-percent",
+      "0",
+      "the hedge budget of every service, in percent of its requests, with "
+      "platform-api=store; 0 for no hedges",
+      "a number from 0 to 100",
+      NumberSetter(&Settings::mHedgePercent, 0, kMaxHedgePercent) },
   };
 }
 
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -71,6 +71,9 @@
   bool mChoosesLocally = false;
   /** The CPU share that the VM grants, in percent of a core. */
   unsigned mCorePercent = 0;
+  /** The hedge budget of every service on platforms whose configuration has
+   * none, in percent of the requests; 0 for no hedges. */
+  unsigned mHedgePercent = 0;
 };
 
 /** A setting that is missing, unknown or not allowed. */
