Hedge slow requests of services that have a hedge budget

A target that turns slow or hangs delays its requests by a multiple of their usual time, although other targets would answer at once.

The scheduler of a service learns the times of each route. For an overdue lease it offers the holder a second lease of another target, within the hedge and retry budgets, and not while the service is slow, fails or lacks free slots, nor of work that earlier hedges showed to be long. The proxy sends the request there, passes on the first complete answer and cancels the other send, whose lease is returned as cancelled when it has ended. The two sends of a request are told apart by mIsHedge.

--- a/src/CallerServer.cpp
+++ b/src/CallerServer.cpp
@@ -86,13 +86,19 @@
   return hooks;
 }
 
+std::string
+CallerServer::NameSend(RequestId aId, bool aIsHedge) const
+{
+  return mHooks.mNameRequest(aId) + (aIsHedge ? "/hedge" : "");
+}
+
 void
 CallerServer::Receive(RequestId aId,
                       std::shared_ptr<const HttpRequest> aMessage)
 {
   CallerRequest event =
     DescribeRequest(mAdapter.mCallers, aId, *aMessage, WallNow());
-  mOpen[aId] = { std::move(aMessage), event.mName, TargetId() };
+  mOpen[aId] = { std::move(aMessage), event.mName, {} };
   mHooks.mPost(std::move(event));
 }
 
@@ -110,19 +116,21 @@
 CallerServer::Run(const SendToTarget& aEffect)
 {
   RequestId id = aEffect.mRequest;
+  bool isHedge = aEffect.mIsHedge;
   Duration left = mHooks.mTimeUntil(aEffect.mDeadlineAt);
   auto it = mOpen.find(id);
   // The process may have been paused since the core decided.
   if (it == mOpen.end() || left <= Duration(0)) {
-    boost::asio::post(mLoop, [this, id] {
+    boost::asio::post(mLoop, [this, id, isHedge] {
       mHooks.mPost(TargetRequestEnded{
-        id, TargetOutcome::Unused, nullptr, std::nullopt, false });
+        id, TargetOutcome::Unused, nullptr, std::nullopt, false, isHedge });
     });
     return;
   }
-  it->second.mTarget = aEffect.mTarget;
+  it->second.mTargets[isHedge ? 1 : 0] = aEffect.mTarget;
   TargetSend send;
   send.mRequest = id;
+  send.mIsHedge = isHedge;
   send.mTarget = aEffect.mTarget;
   send.mRequestName = it->second.mName;
   send.mTimeout = left;
@@ -131,13 +139,14 @@
     mAdapter.mCallers,
     mAdapter.mTargets,
     *it->second.mMessage,
-    { aEffect.mTarget, mHooks.mNameRequest(id), left, aEffect.mAccount });
-  mTargets->Send(send, [this, id](const TargetResult& aResult) {
+    { aEffect.mTarget, NameSend(id, isHedge), left, aEffect.mAccount });
+  mTargets->Send(send, [this, id, isHedge](const TargetResult& aResult) {
     mHooks.mPost(TargetRequestEnded{ id,
                                      aResult.mOutcome,
                                      aResult.mAnswer,
                                      aResult.mStatements,
-                                     aResult.mMayHaveRun });
+                                     aResult.mMayHaveRun,
+                                     isHedge });
   });
 }
 
@@ -145,21 +154,26 @@
 CallerServer::Run(const CancelAtTarget& aEffect)
 {
   auto it = mOpen.find(aEffect.mRequest);
-  if (it == mOpen.end() || it->second.mTarget.mValue.empty()) {
+  if (it == mOpen.end()) {
+    return;
+  }
+  const TargetId& target = it->second.mTargets[aEffect.mIsHedge ? 1 : 0];
+  if (target.mValue.empty()) {
     return;
   }
   if (mAdapter.mTargets.mCancelsByClose) {
-    mTargets->Cancel(aEffect.mRequest);
+    mTargets->Cancel(aEffect.mRequest, aEffect.mIsHedge);
     return;
   }
-  auto endpoint = ParseEndpoint(AddressOf(it->second.mTarget));
+  auto endpoint = ParseEndpoint(AddressOf(target));
   if (!endpoint) {
     return;
   }
   HttpRequest message;
   message.mMethod = "POST";
-  message.mTarget = "/cancel?request=" + mHooks.mNameRequest(aEffect.mRequest);
-  message.mHeaders = { { "Host", AddressOf(it->second.mTarget) } };
+  message.mTarget =
+    "/cancel?request=" + NameSend(aEffect.mRequest, aEffect.mIsHedge);
+  message.mHeaders = { { "Host", AddressOf(target) } };
   message.mKeepsAlive = false;
   ExchangeRequest request;
   request.mTo = *endpoint;
--- a/src/CallerServer.h
+++ b/src/CallerServer.h
@@ -6,6 +6,7 @@
 #include "PlatformPort.h"
 #include "TargetClient.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -64,13 +65,16 @@
     std::shared_ptr<const HttpRequest> mMessage;
     /** The caller's own id of the request. */
     std::string mName;
-    TargetId mTarget;
+    /** The targets of the first send, or of its retries, and of the hedge. */
+    std::array<TargetId, 2> mTargets;
   };
 
   CallerServer(boost::asio::io_context& aLoop,
                const PlatformAdapter& aAdapter,
                CallerHooks aHooks);
   HttpServerHooks ServerHooks();
+  /** The name of a send of a request for its target. */
+  std::string NameSend(RequestId aId, bool aIsHedge) const;
   void Receive(RequestId aId, std::shared_ptr<const HttpRequest> aMessage);
   HttpResponse Refuse(HttpProgress aProgress) const;
 
--- a/src/Codec.cpp
+++ b/src/Codec.cpp
@@ -84,7 +84,8 @@
                                             "feed_push",
                                             "feed_pull",
                                             "member_pull",
-                                            "member_page" };
+                                            "member_page",
+                                            "hedge_offer" };
   static_assert(std::size(kNames) == kMessageTypes);
   return kNames[aType];
 }
--- a/src/Effects.h
+++ b/src/Effects.h
@@ -50,12 +50,17 @@
   /** Set if the document has accounts: the name that the target is told, or an
    * empty one for a request without a key. */
   std::optional<AccountName> mAccount;
+  /** Whether it is the request's hedge, which may run at the same time as its
+   * other send. */
+  bool mIsHedge = false;
 };
 
 /** Tells a target to cancel a request that was sent to it. */
 struct CancelAtTarget
 {
   RequestId mRequest = 0;
+  /** Which of the request's sends is cancelled. */
+  bool mIsHedge = false;
 };
 
 /** Answers a caller with mAnswer, a target's complete answer, or with mVerdict
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -24,6 +24,10 @@
 constexpr int kEventRequestDelayed = 207;
 constexpr int kEventGrantDeclined = 208;
 
+constexpr int kEventHedgeOffered = 240;
+constexpr int kEventHedgeDenied = 241;
+constexpr int kEventHedgeEnded = 242;
+
 constexpr int kEventChangeFolded = 300;
 constexpr int kEventCheckpointWritten = 302;
 constexpr int kEventDocumentRead = 303;
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -462,6 +462,21 @@
   MSGPACK_DEFINE(mUpdates, mHasMore)
 };
 
+/** Offers the holder of the lease mFirstLease a second lease of another target,
+ * so that it may send the request there as well. The holder returns the lease
+ * unused if it does not. Sent only for services with a hedge budget. */
+struct HedgeOffer
+{
+  RequestId mRequest = 0;
+  LeaseId mFirstLease = 0;
+  LeaseId mLease = 0;
+  TargetId mTarget;
+  /** The end of the scheduler's target list at the offer; 0 if the platform's
+   * lists have no offsets. */
+  LogOffset mTargetListEnd = 0;
+  MSGPACK_DEFINE(mRequest, mFirstLease, mLease, mTarget, mTargetListEnd)
+};
+
 /** All messages between proxies. The index of an alternative identifies the
  * message type on the wire, so new types must be appended at the end. */
 using Message = std::variant<Ping,
@@ -485,7 +500,8 @@
                              FeedPush,
                              FeedPull,
                              MemberPull,
-                             MemberPage>;
+                             MemberPage,
+                             HedgeOffer>;
 
 } // namespace vanillascale
 
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -3,6 +3,8 @@
 #include "Duties.h"
 #include "EventNumbers.h"
 #include "NodeFeeds.h"
+#include "ProxyHedges.h"
+#include "SchedulerHedges.h"
 
 #include <algorithm>
 #include <utility>
@@ -218,6 +220,7 @@
   void operator()(const LeaseGrant& aMessage) { DispatchToProxy(aMessage); }
   void operator()(const LeaseRefusal& aMessage) { DispatchToProxy(aMessage); }
   void operator()(const LeaseQuery& aMessage) { DispatchToProxy(aMessage); }
+  void operator()(const HedgeOffer& aMessage) { DispatchToProxy(aMessage); }
   void operator()(const TargetView& aMessage) { DispatchToProxy(aMessage); }
   void operator()(const IntentDecision& aMessage) { DispatchToProxy(aMessage); }
   void operator()(const CachedAnswerQuery& aMessage)
@@ -331,6 +334,10 @@
       it = aState.mSchedulers.erase(it);
       continue;
     }
+    UpdateHedgeRoutes(scheduler,
+                      *service,
+                      aState.mConfig.mConfig.mDocument,
+                      aState.mConfig.mConfig.mOffset);
     SchedulerTick(scheduler, aNow, *service, aEffects);
     ++it;
   }
--- a/src/NodeEvents.h
+++ b/src/NodeEvents.h
@@ -63,6 +63,8 @@
   std::optional<TargetStatements> mStatements;
   /** The target may have run the request although it states that it did not. */
   bool mMayHaveRun = false;
+  /** Which of the request's sends has ended. */
+  bool mIsHedge = false;
 };
 
 /** A message from a peer has been received. */
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -95,6 +95,18 @@
   add("vanillascale_fallback_sends_total",
       "Sends to targets that the proxy chose without a scheduler",
       counters.mFallbackSends);
+  add("vanillascale_hedges_total",
+      "Second sends of requests that were slow at their first target",
+      counters.mHedges);
+  add("vanillascale_hedges_won_total",
+      "Requests answered by their second send",
+      counters.mHedgesWon);
+  add("vanillascale_hedges_wasted_total",
+      "Requests with a second send that were answered by another one or failed",
+      counters.mHedgesWasted);
+  add("vanillascale_hedges_declined_total",
+      "Offered second leases that were returned unused",
+      counters.mHedgesDeclined);
   for (RunOutcome outcome :
        { RunOutcome::NotRun, RunOutcome::Ran, RunOutcome::Unknown }) {
     AddHistogram(aRegistry,
@@ -147,6 +159,20 @@
              "Slot leases that expired before they were returned",
              static_cast<double>(aScheduler.mCounters.mExpired),
              labels);
+  for (std::size_t i = 0; i < kHedgeDenials; ++i) {
+    Labels denialLabels = labels;
+    denialLabels["cause"] = HedgeDenialName(static_cast<HedgeDenial>(i));
+    AddCounter(aRegistry,
+               "vanillascale_hedges_denied_total",
+               "Slow requests that were offered no second lease, by cause",
+               static_cast<double>(aScheduler.mHedges.mDenied[i]),
+               denialLabels);
+  }
+  AddCounter(aRegistry,
+             "vanillascale_hedges_offered_total",
+             "Second leases offered for slow requests",
+             static_cast<double>(aScheduler.mHedges.mOffered),
+             labels);
   AddGauge(aRegistry,
            "vanillascale_queue",
            "Requests queued for a slot",
--- a/src/Proxy.cpp
+++ b/src/Proxy.cpp
@@ -3,6 +3,7 @@
 #include "PeerRequestId.h"
 #include "ProxyAdmission.h"
 #include "ProxyCompletion.h"
+#include "ProxyHedges.h"
 #include "ProxyIntents.h"
 #include "ProxyLeases.h"
 #include "ProxyLog.h"
@@ -206,7 +207,9 @@
   request->mIsCallerGone = true;
   if (request->mStage == RequestStage::Sent) {
     if (request->mIsIdempotent) {
-      aContext.mEffects.push_back(CancelAtTarget{ request->mId });
+      aContext.mEffects.push_back(
+        CancelAtTarget{ request->mId, request->mIsHedge });
+      CancelSecondSend(aContext, *request);
     }
     return;
   }
@@ -224,14 +227,21 @@
              const ProxyContext& aContext,
              const TargetRequestEnded& aEnded)
 {
+  if (EndSecondSend(aState, aContext, aEnded)) {
+    return;
+  }
   ProxyRequest* request = FindRequest(aState, aEnded.mRequest);
-  if (!request || request->mStage != RequestStage::Sent) {
+  if (!request || request->mStage != RequestStage::Sent ||
+      request->mIsHedge != aEnded.mIsHedge) {
     return;
   }
   ReturnLease(aState, aContext, *request, aEnded.mOutcome, aEnded.mStatements);
   if (aEnded.mOutcome != TargetOutcome::Answered) {
     LogFailedSend(aContext, *request, aEnded.mOutcome);
   }
+  if (ContinueWithSecondSend(aContext, *request, aEnded)) {
+    return;
+  }
   switch (aEnded.mOutcome) {
     case TargetOutcome::Answered:
       FinishAnswered(aState, aContext, *request, aEnded.mAnswer);
@@ -343,6 +353,9 @@
       held.insert(request.mLease);
     }
   }
+  for (const HeldLease& it : LeasesOfSecondSends(aState, aContext, nullptr)) {
+    held.insert(it.mLease);
+  }
   for (LeaseId it : aQuery.mLeases) {
     if (held.count(it) == 0) {
       ReturnUnusedLease(aContext, aFrom, aQuery.mService, it);
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -31,6 +32,15 @@
   RevokingIntent
 };
 
+/** The second send of a request that is in progress at two targets. */
+struct HedgeSend
+{
+  LeaseId mLease = 0;
+  TargetId mTarget;
+  TimePoint mSentAt{};
+  bool mIsHedge = true;
+};
+
 /** State of a caller's request, from its arrival to its answer. */
 struct ProxyRequest
 {
@@ -97,6 +107,13 @@
   bool mHasMultipleIntentWriters = false;
   /** The winner of the key, where another intent won it. */
   IntentOwner mKeyOwner;
+  /** The second of two sends in progress. mLease, mTarget and mSentAt are of
+   * the other one, and mIsHedge tells whether that is the hedge: it is once the
+   * first send has failed. */
+  std::optional<HedgeSend> mSecondSend;
+  bool mIsHedge = false;
+  /** When its hedge was sent. There is no other one. */
+  std::optional<TimePoint> mHedgedAt;
   /** The verdict for the caller once the intent is revoked. */
   Verdict mPendingVerdict;
   bool mIsCallerGone = false;
@@ -137,6 +154,13 @@
   /** Grants of targets that had stated that they accept no request, or that are
    * leaving or gone by this node's target list. */
   std::uint64_t mDeclinedGrants = 0;
+  /** Hedges that were sent, that were answered first, and whose first send was
+   * answered first or that failed. */
+  std::uint64_t mHedges = 0;
+  std::uint64_t mHedgesWon = 0;
+  std::uint64_t mHedgesWasted = 0;
+  /** Offers of second leases that were returned unused. */
+  std::uint64_t mHedgesDeclined = 0;
   /** From a request's arrival to its answer, indexed by RunOutcome. */
   std::array<LatencyHistogram, 3> mDurations{};
   /** From the start of the wait for a lease to the send. */
@@ -154,6 +178,15 @@
   TimePoint mGiveUpAt{};
 };
 
+/** A send that lost against the request's other one and was cancelled. Its
+ * lease is returned when it has ended: until then it may still use the slot. */
+struct CancelledSend
+{
+  ServiceName mService;
+  HedgeSend mSend;
+  TimePoint mDeadlineAt{};
+};
+
 /** State of one proxy: its requests, scheduler links and cached answers. */
 struct ProxyState
 {
@@ -168,6 +201,8 @@
   std::unordered_map<RouteName, WeightedRoundRobin> mRouteSpreads;
   /** By the ids by which other nodes know the requests. */
   std::map<RequestId, AbandonedIntent> mAbandonedIntents;
+  /** By request and whether it is the hedge. */
+  std::map<std::pair<RequestId, bool>, CancelledSend> mCancelledSends;
   AnswerCache mAnswerCache;
   ProxyCounters mCounters;
   /** Targets are always chosen locally and no scheduler is queried. */
@@ -258,6 +293,11 @@
              const NodeId& aFrom,
              const LeaseQuery& aQuery);
 void
+ProxyReceive(ProxyState& aState,
+             const ProxyContext& aContext,
+             const NodeId& aFrom,
+             const HedgeOffer& aOffer);
+void
 ProxyReceive(ProxyState& aState,
              const ProxyContext& aContext,
              const NodeId& aFrom,
--- a/src/ProxyCompletion.cpp
+++ b/src/ProxyCompletion.cpp
@@ -1,6 +1,7 @@
 #include "ProxyCompletion.h"
 
 #include "PeerRequestId.h"
+#include "ProxyHedges.h"
 #include "ProxyIntents.h"
 #include "ProxyLog.h"
 #include "ProxyVerdicts.h"
@@ -44,6 +45,7 @@
               std::shared_ptr<const Answer> aAnswer)
 {
   auto it = aState.mRequests.find(aId);
+  FinishHedge(aState, aContext, it->second, aVerdict.mOutcome);
   const ProxyRequest& request = it->second;
   auto running = aState.mRunningKeys.find(request.mKey);
   if (running != aState.mRunningKeys.end() && running->second == aId) {
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -3,6 +3,7 @@
 #include "Duties.h"
 #include "EventNumbers.h"
 #include "Hash.h"
+#include "ProxyHedges.h"
 #include "ProxyLog.h"
 
 #include <algorithm>
@@ -113,6 +114,9 @@
                                    request.mDeadlineAt - aContext.mNow });
         }
       }
+      for (HeldLease& it : LeasesOfSecondSends(aState, aContext, &aService)) {
+        sync.mLeases.push_back(std::move(it));
+      }
       sync.mStatements = StatementsOf(link.mLocalChoice, aContext.mNow);
       if (!sync.mLeases.empty() || !sync.mStatements.empty()) {
         aContext.mEffects.push_back(SendToPeer{ owner, std::move(sync) });
@@ -370,6 +374,7 @@
   aRequest.mSentAt = aContext.mNow;
   aRequest.mLease = aLease;
   aRequest.mTarget = aTarget;
+  aRequest.mIsHedge = false;
   ++aRequest.mSends;
   ++aState.mCounters.mSends;
   aState.mCounters.mRetries += aRequest.mIsRetry ? 1 : 0;
@@ -456,6 +461,22 @@
   return true;
 }
 
+bool
+IsTargetDeclined(const ProxyState& aState,
+                 const ProxyContext& aContext,
+                 const ServiceName& aService,
+                 const TargetId& aTarget,
+                 LogOffset aListEnd)
+{
+  const LocalBalancer& targets =
+    aState.mSchedulerLinks.at(aService).mLocalChoice;
+  LeaseGrant grant;
+  grant.mTarget = aTarget;
+  grant.mTargetListEnd = aListEnd;
+  return DeclinesRequests(targets, aContext.mNow, aTarget) ||
+         IsLeavingOrGone(aContext, targets, grant);
+}
+
 void
 ReturnUnusedLease(const ProxyContext& aContext,
                   const NodeId& aScheduler,
--- a/src/ProxyLeases.h
+++ b/src/ProxyLeases.h
@@ -43,6 +43,16 @@
              const NodeId& aScheduler,
              const LeaseGrant& aGrant);
 
+/** Returns whether a target must not be sent requests, as far as this proxy
+ * knows; see DeclineGrant. aListEnd is the end of the scheduler's target list.
+ * Precondition: the service has a scheduler link. */
+bool
+IsTargetDeclined(const ProxyState& aState,
+                 const ProxyContext& aContext,
+                 const ServiceName& aService,
+                 const TargetId& aTarget,
+                 LogOffset aListEnd);
+
 /** Reports to a scheduler that a granted lease is not used. */
 void
 ReturnUnusedLease(const ProxyContext& aContext,
--- a/src/ProxyLog.cpp
+++ b/src/ProxyLog.cpp
@@ -116,6 +116,19 @@
       " left_ms=" + FormatMilliseconds(aRequest.mDeadlineAt - aContext.mNow) });
 }
 
+void
+LogHedgeEnd(const ProxyContext& aContext,
+            const ProxyRequest& aRequest,
+            const char* aWinner,
+            Duration aHedgeAge)
+{
+  aContext.mEffects.push_back(
+    WriteEvent{ kEventHedgeEnded,
+                FormatRequestFields(aContext, aRequest) + " winner=" + aWinner +
+                  " target=" + aRequest.mTarget.mValue +
+                  " hedge_ms=" + FormatMilliseconds(aHedgeAge) });
+}
+
 void
 LogDeclinedGrant(const ProxyContext& aContext,
                  const ProxyRequest& aRequest,
--- a/src/ProxyLog.h
+++ b/src/ProxyLog.h
@@ -20,6 +20,14 @@
               const ProxyRequest& aRequest,
               TargetOutcome aOutcome);
 
+/** Logs the end of a request with two sends. aWinner: "first", "hedge" or
+ * "none". aHedgeAge: the time since the second send. */
+void
+LogHedgeEnd(const ProxyContext& aContext,
+            const ProxyRequest& aRequest,
+            const char* aWinner,
+            Duration aHedgeAge);
+
 /** Logs a grant that is returned because of what this node knows of its target,
  * with the ends of both target lists. aIsLeavingOrGone: by its target list, and
  * not by the target's own statement. */
--- a/src/Scheduler.cpp
+++ b/src/Scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "SchedulerAdmission.h"
 #include "SchedulerEvidence.h"
+#include "SchedulerHedges.h"
 #include "SchedulerPlacement.h"
 
 #include <algorithm>
@@ -195,6 +196,7 @@
                 lease.mPriority,
                 aReport.mLatency - lease.mChargedTime,
                 aSettings.mGuaranteedPercent);
+  RecordHedgeReport(aState, aNow, aSettings, lease, aReport);
   ProcessReport(aState, aNow, lease, aReport, aEffects);
   GrantSlots(aState, aNow, aSettings, aEffects);
 }
@@ -276,6 +278,9 @@
     RemoveExpiredRecords(aState.mHarmful, aNow);
     RemoveFullBuckets(aState.mAccounts, aNow);
     SendTargetViews(aState, aNow, aEffects);
+    GrantSlots(aState, aNow, aSettings, aEffects);
+    OfferHedges(aState, aNow, aSettings, aEffects);
+    return;
   }
   GrantSlots(aState, aNow, aSettings, aEffects);
 }
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -5,6 +5,7 @@
 #include "Document.h"
 #include "Effects.h"
 #include "HarmfulRequests.h"
+#include "HedgePolicy.h"
 #include "LeaseQueue.h"
 #include "TargetPool.h"
 
@@ -49,6 +50,39 @@
   bool mHasSlowPenalty = false;
   /** How many times the request was recorded as stalled. */
   unsigned mStallCount = 0;
+  /** Whether the request may be sent to a second target. */
+  bool mMayBeHedged = false;
+  /** Whether the request was counted as overdue, and as denied a hedge. */
+  bool mIsOverdue = false;
+  bool mIsHedgeDenied = false;
+  /** The lease of the request's other send; 0 if there is none. */
+  LeaseId mOtherLease = 0;
+  /** Whether it is the lease of a hedge. */
+  bool mIsHedge = false;
+  /** Of a hedge: the first send was answered. */
+  bool mIsFirstAnswered = false;
+};
+
+/** What a scheduler knows for hedged requests; empty if the service has no
+ * hedge budget. */
+struct HedgeState
+{
+  /** By route; at most kMaxHedgeRoutes. */
+  std::unordered_map<std::uint32_t, RouteWork> mWork;
+  /** The routes with a budget lower than the service's, by their hashes, with
+   * the tokens of each. */
+  std::unordered_map<std::uint32_t, unsigned> mRoutePercents;
+  std::unordered_map<std::uint32_t, HedgeTokens> mRouteTokens;
+  /** The version of the document that mRoutePercents is of. */
+  std::optional<LogOffset> mRoutesVersion;
+  HedgeTokens mTokens;
+  /** Overdue requests by the zone of their target. */
+  std::map<ZoneName, DecayingShare> mOverdue;
+  /** Requests that targets refused. */
+  DecayingShare mRefused;
+  /** Monotonic counters for the metrics. */
+  std::uint64_t mOffered = 0;
+  std::array<std::uint64_t, kHedgeDenials> mDenied{};
 };
 
 /** A proxy that uses the scheduler. */
@@ -118,6 +152,7 @@
   /** The smoothed latency of short requests; 0 before the first sample. */
   Duration mMeanShortLatency{ 0 };
   TimePoint mNextScanAt{};
+  HedgeState mHedges;
   SchedulerCounters mCounters;
 
   /** Returns the initial state of a service's scheduler. Precondition: aEpoch
--- a/src/SchedulerEvidence.cpp
+++ b/src/SchedulerEvidence.cpp
@@ -1,6 +1,7 @@
 #include "SchedulerEvidence.h"
 
 #include "EventNumbers.h"
+#include "SchedulerHedges.h"
 #include "TargetArrivals.h"
 
 #include <algorithm>
@@ -264,7 +265,8 @@
   bool isUnserved = aReport.mOutcome == TargetOutcome::ServerError ||
                     aReport.mOutcome == TargetOutcome::Broken ||
                     aReport.mOutcome == TargetOutcome::TimedOut;
-  if (isServed || isUnserved) {
+  if ((isServed || isUnserved) &&
+      IsOutcomeOfRequest(aLease, aReport.mOutcome)) {
     CountRecentRequest(aState, aNow, isServed);
   }
   if (aReport.mOutcome == TargetOutcome::Answered) {
@@ -293,7 +295,14 @@
     }
   }
   auto observation = MakeObservation(aState, aLease, aReport);
-  if (aReport.mOutcome == TargetOutcome::Answered) {
+  // The time of the first send counts, also if its hedge was answered first:
+  // otherwise the baseline would lose its longest times.
+  bool isHedgeWon =
+    aReport.mOutcome == TargetOutcome::Cancelled && aLease.mOtherLease != 0;
+  if (isHedgeWon && !aLease.mIsHedge) {
+    AddSample(aState.mBaselines[aLease.mRoute], aReport.mLatency);
+  }
+  if (aReport.mOutcome == TargetOutcome::Answered && !aLease.mIsHedge) {
     AddSample(aState.mBaselines[aLease.mRoute], aReport.mLatency);
     if (!aLease.mIsLong) {
       double mean = static_cast<double>(aState.mMeanShortLatency.count());
--- a/src/SchedulerPlacement.cpp
+++ b/src/SchedulerPlacement.cpp
@@ -1,6 +1,7 @@
 #include "SchedulerPlacement.h"
 
 #include "SchedulerEvidence.h"
+#include "SchedulerHedges.h"
 #include "TargetArrivals.h"
 #include "TargetChoice.h"
 
@@ -65,6 +66,7 @@
                                              queued.mDeadlineAt - aNow,
                                              lease.mTargetListEnd } });
   aState.mLeases.emplace(id, std::move(lease));
+  RecordHedgeGrant(aState, aNow, aSettings, id, request.mIsRetry);
   ++aState.mCounters.mGrants;
   if (!request.mIsRetry) {
     aState.mRetryTokens =
--- a/src/TargetClient.cpp
+++ b/src/TargetClient.cpp
@@ -107,27 +107,28 @@
   ReusableSocket socket = aSend.mIsIdempotent ? Take(aSend.mTarget) : nullptr;
   bool mustNameRequest = socket && !aSend.mRequestName.empty();
   mConnects += socket ? 0 : 1;
-  mRunning[aSend.mRequest] = HttpExchange::Start(
+  SendKey key(aSend.mRequest, aSend.mIsHedge);
+  mRunning[key] = HttpExchange::Start(
     mLoop,
     std::move(request),
     std::move(socket),
     [this,
      target = aSend.mTarget,
-     id = aSend.mRequest,
+     key,
      mustNameRequest,
      callback = std::move(aCallback)](ExchangeResult aResult) {
-      Finish(target, id, mustNameRequest, std::move(aResult), callback);
+      Finish(target, key, mustNameRequest, std::move(aResult), callback);
     });
 }
 
 void
 TargetClient::Finish(const TargetId& aTarget,
-                     RequestId aRequest,
+                     const SendKey& aSend,
                      bool aMustNameRequest,
                      ExchangeResult aResult,
                      const Callback& aCallback)
 {
-  mRunning.erase(aRequest);
+  mRunning.erase(aSend);
   if (aResult.mEnd != ExchangeEnd::Complete) {
     TargetResult result;
     result.mOutcome = OutcomeOf(aResult.mEnd);
@@ -148,9 +149,9 @@
 }
 
 void
-TargetClient::Cancel(RequestId aRequest)
+TargetClient::Cancel(RequestId aRequest, bool aIsHedge)
 {
-  auto it = mRunning.find(aRequest);
+  auto it = mRunning.find({ aRequest, aIsHedge });
   if (it != mRunning.end()) {
     it->second->Cancel();
   }
--- a/src/TargetClient.h
+++ b/src/TargetClient.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <unordered_map>
 
 namespace vanillascale {
@@ -22,6 +23,9 @@
   /** False for work that may run only once: it goes on a new connection, since
    * a kept one may be reset as the request arrives. */
   bool mIsIdempotent = true;
+  /** Whether it is the request's hedge, which may be in progress at the same
+   * time as its other send. */
+  bool mIsHedge = false;
 };
 
 /** Sends requests to targets and keeps connections for reuse. The loop's thread
@@ -38,8 +42,9 @@
   /** Sends a request, once. aCallback is called once, never from within. */
   void Send(const TargetSend& aSend, Callback aCallback);
 
-  /** Ends a request's exchange, if it has one: the callback gets Cancelled. */
-  void Cancel(RequestId aRequest);
+  /** Ends the exchange of a request's send or hedge, if there is one: the
+   * callback gets Cancelled. */
+  void Cancel(RequestId aRequest, bool aIsHedge = false);
 
   /** Closes kept connections that have not been used for a while. */
   void CloseIdle();
@@ -56,8 +61,10 @@
 
   TargetClient(boost::asio::io_context& aLoop, const TargetDialect& aDialect);
   ReusableSocket Take(const TargetId& aTarget);
+  /** A request, and whether it is its hedge. */
+  using SendKey = std::pair<RequestId, bool>;
   void Finish(const TargetId& aTarget,
-              RequestId aRequest,
+              const SendKey& aSend,
               bool aMustNameRequest,
               ExchangeResult aResult,
               const Callback& aCallback);
@@ -66,7 +73,7 @@
   const TargetDialect& mDialect;
   /** The bytes that the running exchanges may still receive together. */
   std::shared_ptr<std::size_t> mByteBudget;
-  std::unordered_map<RequestId, std::shared_ptr<HttpExchange>> mRunning;
+  std::map<SendKey, std::shared_ptr<HttpExchange>> mRunning;
   std::unordered_map<TargetId, std::list<Kept>> mKept;
   std::uint64_t mConnects = 0;
 };
--- a/test/correctness/MessagesAreDecoded.cpp
+++ b/test/correctness/MessagesAreDecoded.cpp
@@ -52,7 +52,8 @@
            FeedPush{ "t", 1, 2, true, Duration(3), { { "k", 4, "v" } } },
            FeedPull{ "t", 5 },
            MemberPull{ 13, NodeId("n") },
-           MemberPage{ { { NodeId("n"), ZoneName("z"), 3, {} } }, true } };
+           MemberPage{ { { NodeId("n"), ZoneName("z"), 3, {} } }, true },
+           HedgeOffer{ 14, 15, 16, TargetId("t:3"), 17 } };
 }
 
 } // namespace
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -290,31 +290,35 @@
   {
     auto it = mTargets.find(aEffect.mTarget);
     RequestId request = aEffect.mRequest;
+    bool isHedge = aEffect.mIsHedge;
     TimePoint deadline = aEffect.mDeadlineAt;
     std::uint64_t generation = mNodes[aFrom]->mProcessGeneration;
-    auto finish = [this, aFrom, request, generation, id = aEffect.mTarget](
-                    TargetOutcome aOutcome) {
-      mOnRunEnd(aFrom, request, id, aOutcome);
-      auto target = mTargets.find(id);
-      bool hasAnswered =
-        target != mTargets.end() && (aOutcome == TargetOutcome::Answered ||
-                                     aOutcome == TargetOutcome::ServerError ||
-                                     aOutcome == TargetOutcome::Shed);
-      auto statements = hasAnswered
-                          ? std::make_optional(target->second->mStatements)
-                          : std::nullopt;
-      if (statements && aOutcome != TargetOutcome::Shed) {
-        statements->mPause = Duration(0);
-      }
-      mQueue.After(mLinkDelay,
-                   [this, aFrom, request, generation, aOutcome, statements] {
-                     End(aFrom, request, generation, aOutcome, statements);
-                   });
-    };
-    mOpenSends.insert({ aFrom, request, generation });
+    auto finish =
+      [this, aFrom, request, isHedge, generation, id = aEffect.mTarget](
+        TargetOutcome aOutcome) {
+        mOnRunEnd(aFrom, request, id, aOutcome);
+        auto target = mTargets.find(id);
+        bool hasAnswered =
+          target != mTargets.end() && (aOutcome == TargetOutcome::Answered ||
+                                       aOutcome == TargetOutcome::ServerError ||
+                                       aOutcome == TargetOutcome::Shed);
+        auto statements = hasAnswered
+                            ? std::make_optional(target->second->mStatements)
+                            : std::nullopt;
+        if (statements && aOutcome != TargetOutcome::Shed) {
+          statements->mPause = Duration(0);
+        }
+        mQueue.After(mLinkDelay, [=] {
+          SendKey key{ aFrom, request, isHedge, generation };
+          End(key, aOutcome, statements);
+        });
+      };
+    SendKey sendKey{ aFrom, request, isHedge, generation };
+    std::uint64_t jobId = ++mJobs;
+    mOpenSends[sendKey] = { aEffect.mTarget, jobId };
     // Like the real runtime, ends a send at its deadline in any case.
-    mQueue.At(deadline, [this, aFrom, request, generation] {
-      End(aFrom, request, generation, TargetOutcome::TimedOut, std::nullopt);
+    mQueue.At(deadline, [this, sendKey] {
+      End(sendKey, TargetOutcome::TimedOut, std::nullopt);
     });
     if (it == mTargets.end()) {
       finish(TargetOutcome::ConnectFailed);
@@ -325,7 +329,7 @@
       return;
     }
     const FakeWork& work = mWork[{ aFrom, request }];
-    FakeTarget::Job job{ ++mJobs, work.mTime, work.mIsLong, deadline, finish };
+    FakeTarget::Job job{ jobId, work.mTime, work.mIsLong, deadline, finish };
     job.mOnStart = [this, aFrom, request] { mOnStart(aFrom, request); };
     bool isPoison = work.mIsPoison;
     mQueue.After(mLinkDelay, [this, aFrom, &target, isPoison, job] {
@@ -337,17 +341,21 @@
     });
   }
 
-  void End(std::size_t aFrom,
-           RequestId aRequest,
-           std::uint64_t aGeneration,
+  /** Identifies a send: the node, the request, whether it is the hedge, and the
+   * process generation. */
+  using SendKey = std::tuple<std::size_t, RequestId, bool, std::uint64_t>;
+
+  void End(const SendKey& aSend,
            TargetOutcome aOutcome,
            const std::optional<TargetStatements>& aStatements)
   {
-    if (mOpenSends.erase({ aFrom, aRequest, aGeneration }) == 0 ||
-        mNodes[aFrom]->mProcessGeneration != aGeneration) {
+    auto [from, request, isHedge, generation] = aSend;
+    if (mOpenSends.erase(aSend) == 0 ||
+        mNodes[from]->mProcessGeneration != generation) {
       return;
     }
-    TargetRequestEnded ended{ aRequest, aOutcome, nullptr, aStatements, false };
+    TargetRequestEnded ended{ request,     aOutcome, nullptr,
+                              aStatements, false,    isHedge };
     bool hasAnswer = aOutcome == TargetOutcome::Answered ||
                      aOutcome == TargetOutcome::ServerError;
     if (hasAnswer) {
@@ -355,10 +363,30 @@
       answer->mStatus = aOutcome == TargetOutcome::Answered ? 200 : 500;
       ended.mAnswer = std::move(answer);
     }
-    Post(aFrom, ended);
+    Post(from, ended);
   }
 
-  void Run(std::size_t, CancelAtTarget&) {}
+  /** Ends a send at once and its work after the link's delay, as a target does
+   * whose platform cancels by closing the connection. */
+  void Run(std::size_t aFrom, CancelAtTarget& aEffect)
+  {
+    SendKey key{ aFrom,
+                 aEffect.mRequest,
+                 aEffect.mIsHedge,
+                 mNodes[aFrom]->mProcessGeneration };
+    mOnCancel(aFrom, aEffect);
+    auto it = mOpenSends.find(key);
+    if (!mDeliversCancels || it == mOpenSends.end()) {
+      return;
+    }
+    auto [target, job] = it->second;
+    mQueue.After(Duration(0), [this, key] {
+      End(key, TargetOutcome::Cancelled, std::nullopt);
+    });
+    mQueue.After(mLinkDelay, [this, id = target, jobId = job] {
+      mTargets.at(id)->Cancel(mQueue, mRandom, jobId);
+    });
+  }
   /** Forwards reads of the store to mOnReadFeed. */
   void Run(std::size_t aFrom, ReadFeed& aEffect)
   {
@@ -417,13 +445,18 @@
   std::function<bool(std::size_t)> mCanReadLog = [](std::size_t) {
     return true;
   };
+  /** Called when a node cancels a send. */
+  std::function<void(std::size_t, const CancelAtTarget&)> mOnCancel =
+    [](std::size_t, const CancelAtTarget&) {};
+  /** Whether cancellations have an effect. */
+  bool mDeliversCancels = false;
   /** Counts the messages that nodes send and their encoded size in bytes. */
   bool mCountsSentBytes = false;
 
 private:
   std::map<NodeId, std::size_t> mIndex;
   std::map<std::pair<std::size_t, RequestId>, FakeWork> mWork;
-  std::set<std::tuple<std::size_t, RequestId, std::uint64_t>> mOpenSends;
+  std::map<SendKey, std::pair<TargetId, std::uint64_t>> mOpenSends;
   std::uint64_t mJobs = 0;
 };
 
--- a/test/support/Fakes.h
+++ b/test/support/Fakes.h
@@ -106,6 +106,9 @@
   TargetStatements mStatements;
   /** Share of requests that are refused as not run, at random. */
   double mShedShare = 0;
+  /** Share of requests that take mHiccup longer, at random. */
+  double mHiccupShare = 0;
+  Duration mHiccup{ 0 };
   std::deque<Job> mWaiting;
   std::map<std::uint64_t, Job> mRunning;
   std::uint64_t mRuns = 0;
@@ -138,6 +141,9 @@
     aJob.mOnStart();
     auto time = Duration(
       std::llround(static_cast<double>(aJob.mTime.count()) * mSlowFactor));
+    if (mHiccupShare > 0 && aRandom() < mHiccupShare * 4294967296.0) {
+      time += mHiccup;
+    }
     bool isError = aRandom() < mErrorShare * 4294967296.0;
     mRunning.emplace(id, std::move(aJob));
     TimePoint startedAt = aQueue.Now();
@@ -164,6 +170,23 @@
     mLateTime += aQueue.Now() > job.mDeadlineAt ? spent : Duration(0);
     job.mOnDone(aIsError ? TargetOutcome::ServerError
                          : TargetOutcome::Answered);
+    StartWaiting(aQueue, aRandom);
+  }
+
+  /** Ends a request's work without a result. */
+  void Cancel(VirtualTimeQueue& aQueue, Random& aRandom, std::uint64_t aId)
+  {
+    mRunning.erase(aId);
+    mWaiting.erase(
+      std::remove_if(mWaiting.begin(),
+                     mWaiting.end(),
+                     [&](const Job& aJob) { return aJob.mId == aId; }),
+      mWaiting.end());
+    StartWaiting(aQueue, aRandom);
+  }
+
+  void StartWaiting(VirtualTimeQueue& aQueue, Random& aRandom)
+  {
     while (!mWaiting.empty() && mRunning.size() < mSlots) {
       Job next = std::move(mWaiting.front());
       mWaiting.pop_front();
