--- a/daemons/vanillascaled.cpp
+++ b/daemons/vanillascaled.cpp
@@ -35,6 +35,7 @@
   }
   PlatformSettings terms = ParsePlatformSettings(aSettings.mPlatformTerms);
   terms.mConcentrate = aSettings.mConcentrate;
+  terms.mHedgePercent = aSettings.mHedgePercent;
   return MakeStoreAdapter(aSettings.mEnvironment, terms);
 }
 
--- a/src/Codec.cpp
+++ b/src/Codec.cpp
@@ -86,7 +86,8 @@
                                             "member_pull",
                                             "member_page",
                                             "quota_report",
-                                            "quota_levels" };
+                                            "quota_levels",
+                                            "hedge_offer" };
   static_assert(std::size(kNames) == kMessageTypes);
   return kNames[aType];
 }
--- a/src/Document.cpp
+++ b/src/Document.cpp
@@ -34,6 +34,8 @@
   service.mRetryBurst =
     reader.ReadUnsigned("retryBurst", 0, kMaxRetryBurst, kDefaultRetryBurst);
   service.mConcentrate = reader.ReadBool("concentrate", false);
+  service.mHedgePercent =
+    reader.ReadUnsigned("hedgePercent", 0, kMaxPercent, 0U);
   reader.RejectUnknownMembers();
   return service;
 }
@@ -118,6 +120,10 @@
   route.mAttempts =
     reader.ReadUnsigned("attempts", 1, kMaxAttempts, kDefaultAttempts);
   route.mIsOpen = reader.ReadBool("open", false);
+  if (aObject.is_object() && aObject.contains("hedgePercent")) {
+    route.mHedgePercent =
+      reader.ReadUnsigned("hedgePercent", 0, kMaxPercent, std::nullopt);
+  }
   reader.RejectUnknownMembers();
   return route;
 }
@@ -298,6 +304,9 @@
   if (aService.mConcentrate) {
     json["concentrate"] = true;
   }
+  if (aService.mHedgePercent != 0) {
+    json["hedgePercent"] = aService.mHedgePercent;
+  }
   return json.dump();
 }
 
@@ -345,6 +354,9 @@
   if (aRoute.mIsOpen) {
     json["open"] = true;
   }
+  if (aRoute.mHedgePercent) {
+    json["hedgePercent"] = *aRoute.mHedgePercent;
+  }
   return json.dump();
 }
 
--- a/test/correctness/MessagesAreDecoded.cpp
+++ b/test/correctness/MessagesAreDecoded.cpp
@@ -55,7 +55,8 @@
            MemberPage{ { { NodeId("n"), ZoneName("z"), 3, {} } }, true },
            QuotaReport{ 14, 15, { { 16, 17, 18, 19, 20, -1.5F, true } } },
            QuotaLevels{ 21,
-                        { { 22, 23, 24, 25, -2.5F, 0.5F, 0.25F, 1.25F } } } };
+                        { { 22, 23, 24, 25, -2.5F, 0.5F, 0.25F, 1.25F } } },
+           HedgeOffer{ 14, 15, 16, TargetId("t:3"), 17 } };
 }
 
 } // namespace
