--- a/src/NodeQuota.cpp
+++ b/src/NodeQuota.cpp
@@ -73,7 +73,7 @@
         IsReachable(aContext.mMembers, bucket.mFormerOwner)) {
       counts[bucket.mFormerOwner].push_back(count);
     }
-    counts[bucket.mOwner].push_back(std::move(count));
+    counts[bucket.mOwner].push_back(count);
   }
   for (auto& [owner, list] : counts) {
     for (std::size_t first = 0; first < list.size();
