Concentrate near the capacity too, and reuse connections

Change: it ends at 1.5 times the slots of targets without recent failures. A node prefers the same targets of the warm set (rendezvous). Failures at targets used for want of room count as requests that were not served; those of probes do not.

--- a/src/SchedulerPlacement.cpp
+++ b/src/SchedulerPlacement.cpp
@@ -43,7 +43,7 @@
   ++(request.mIsLong ? target.mBusyLongSlots : target.mBusyShortSlots);
   bool mayProbe =
     request.mIsIdempotent && !request.mIsRetry && !request.mIsLong;
-  bool isProbe = RecordConcentratedGrant(aState.mPool, target, mayProbe);
+  bool isProbe = RecordConcentratedGrant(aState.mPool, aNow, target, mayProbe);
   RecordGrant(target, aNow);
   TakeToken(target.mLimit, aNow);
   LeaseId id = (aState.mEpoch << kEpochShift) | ++aState.mLeaseCount;
--- a/src/TargetChoice.cpp
+++ b/src/TargetChoice.cpp
@@ -1,5 +1,6 @@
 #include "TargetChoice.h"
 
+#include "Hash.h"
 #include "TargetArrivals.h"
 #include "TargetConcentration.h"
 
@@ -174,6 +175,7 @@
                      const PooledTarget& aTarget,
                      TimePoint aNow,
                      const SlotDemand& aDemand,
+                     std::uint64_t aNodeHash,
                      bool aTakesLastSlot)
 {
   aPreference.mWarmRank = WarmRankOf(aTarget, aNow);
@@ -184,15 +186,17 @@
     aDemand.mMayProbe && aPreference.mWarmRank == kRankWarm;
   aPreference.mLoadPercent = isLeastRecentFirst && aTakesLastSlot ? 1 : 0;
   aPreference.mTieBreak =
-    isLeastRecentFirst ? aTarget.mLastRequestAt.time_since_epoch()
-                       : -aTarget.mPenalty.mLastSuccessAt.time_since_epoch();
+    aPreference.mWarmRank == kRankWarm
+      ? WarmOrderOf(aTarget, aNow, aNodeHash, aDemand.mMayProbe)
+      : -aTarget.mPenalty.mLastSuccessAt.time_since_epoch();
 }
 
 std::optional<Preference>
 PreferenceFor(const TargetPool& aPool,
               const PooledTarget& aTarget,
               TimePoint aNow,
-              const SlotDemand& aDemand)
+              const SlotDemand& aDemand,
+              std::uint64_t aNodeHash)
 {
   unsigned open = OpenSlotsOf(aTarget, aNow);
   if (IsProbeNeeded(aPool, aTarget, aNow, open, aDemand) ||
@@ -238,7 +242,8 @@
   preference.mBusyLongSlots = aDemand.mIsLong ? aTarget.mBusyLongSlots : 0;
   bool takesLastSlot = open > 1 && BusySlotsOf(aTarget) + 1 >= open;
   if (aPool.mWarmSet.mIsActive) {
-    SetConcentratedOrder(preference, aTarget, aNow, aDemand, takesLastSlot);
+    SetConcentratedOrder(
+      preference, aTarget, aNow, aDemand, aNodeHash, takesLastSlot);
     return preference;
   }
   preference.mTakesLastSlot = takesLastSlot;
@@ -254,6 +259,8 @@
 std::optional<TargetId>
 PickTarget(const TargetPool& aPool, TimePoint aNow, const SlotDemand& aDemand)
 {
+  std::uint64_t nodeHash =
+    aPool.mWarmSet.mIsActive ? Hash64(aDemand.mNode.mValue) : 0;
   const TargetId* best = nullptr;
   Preference bestPreference;
   for (const auto& [id, target] : aPool.mTargets) {
@@ -265,7 +272,7 @@
     if (isExcluded) {
       continue;
     }
-    auto preference = PreferenceFor(aPool, target, aNow, aDemand);
+    auto preference = PreferenceFor(aPool, target, aNow, aDemand, nodeHash);
     if (preference && (!best || *preference < bestPreference)) {
       best = &id;
       bestPreference = *preference;
--- a/src/TargetConcentration.cpp
+++ b/src/TargetConcentration.cpp
@@ -1,5 +1,7 @@
 #include "TargetConcentration.h"
 
+#include "TargetArrivals.h"
+
 #include <algorithm>
 #include <cmath>
 #include <vector>
@@ -19,9 +21,9 @@
 constexpr double kReserveStdDevs = 1.0;
 /** The reserve of a zone with little demand, in slots. */
 constexpr double kMinReserve = 1.0;
-/** The concentration is inactive if the warm set would have more than this
- * share of the slots of the targets without recent failures. */
-constexpr double kMaxWarmShare = 0.85;
+/** Above this share requests are not concentrated: all targets are full, and
+ * probes cost little. */
+constexpr double kMaxConcentratedShare = 1.5;
 /** The probes of targets outside of the warm set, as a share of the idempotent
  * requests: while the other targets have as many slots as the warm set, and
  * while they have none. */
@@ -44,6 +46,17 @@
 constexpr Duration kWarmUpIdleTime = milliseconds(1500);
 /** The same by requests that must not be repeated, if no other comes. */
 constexpr Duration kWarmUpIdleTimeIfNotIdempotent = milliseconds(2500);
+/** Targets used within this time are equal to requests that may be probes. It
+ * bounds the time in which a gray period goes unnoticed by them. */
+constexpr Duration kEqualUseTime = milliseconds(500);
+/** Targets that answered within this time are equal to other requests. */
+constexpr Duration kEqualSuccessTime = milliseconds(100);
+/** Mixes the hashes of a node and a target: 2^64 divided by the golden ratio.
+ */
+constexpr std::uint64_t kHashFactor = 0x9E3779B97F4A7C15;
+/** Leaves 10 bits, so that a rank is below kMaxRank. */
+constexpr unsigned kRankShift = 54;
+constexpr Duration kMaxRank{ 1024 };
 /** The usual number of slots of a target. */
 constexpr unsigned kUsualSlots = 2;
 
@@ -131,10 +144,12 @@
 }
 
 /** Sets the slots that each zone's part of the warm set should have. What a
- * zone lacks is taken evenly from the others. */
-void
+ * zone lacks is taken evenly from the others. Returns the slots that all zones
+ * want. */
+double
 DistributeDemand(const WarmSet& aWarmSet, ZoneRooms& aRooms)
 {
+  double total = 0;
   double lacking = 0;
   for (const auto& [zone, demand] : aWarmSet.mDemand) {
     double wanted = demand + kReserveStdDevs * std::sqrt(demand) + kMinReserve;
@@ -144,6 +159,7 @@
       it->second.mWanted = own;
     }
     lacking += wanted - own;
+    total += wanted;
   }
   // Each pass fills at least one zone or ends.
   for (std::size_t n = 0; n < aRooms.size() && lacking > 0; ++n) {
@@ -158,6 +174,7 @@
       lacking -= taken;
     }
   }
+  return total;
 }
 
 /** Puts the targets that answered last into the warm set, as many as the zone
@@ -198,17 +215,12 @@
   warmSet.mIsEnabled = true;
   UpdateDemand(warmSet, aNow, aSlotsInUse);
   ZoneRooms rooms = CollectCandidates(aPool, aNow);
-  DistributeDemand(warmSet, rooms);
-  double wanted = 0;
+  double wanted = DistributeDemand(warmSet, rooms);
   double slots = 0;
-  for (auto& it : rooms) {
-    wanted += it.second.mWanted;
+  for (const auto& it : rooms) {
     slots += it.second.mSlots;
   }
-  warmSet.mIsActive = wanted <= kMaxWarmShare * slots;
-  if (!warmSet.mIsActive) {
-    return;
-  }
+  warmSet.mIsActive = wanted <= kMaxConcentratedShare * slots;
   double need =
     std::clamp((2 * wanted - slots) / std::max(1.0, wanted), 0., 1.);
   warmSet.mProbeShare =
@@ -220,6 +232,7 @@
 
 bool
 RecordConcentratedGrant(TargetPool& aPool,
+                        TimePoint aNow,
                         PooledTarget& aTarget,
                         bool aMayProbe)
 {
@@ -227,10 +240,14 @@
   if (!warmSet.mIsActive) {
     return false;
   }
-  bool isProbe = aMayProbe && !aTarget.mIsWarm;
+  bool isOutside = aMayProbe && !aTarget.mIsWarm;
+  bool isOverdue =
+    aPool.mHasHighFailureRate &&
+    IsArrivalOverdue(aTarget, aNow, kMaxIdleTimeAtHighFailureRate);
+  bool isProbe = isOutside && (isOverdue || warmSet.mProbeTokens >= 1);
   if (aMayProbe) {
     double tokens =
-      warmSet.mProbeTokens + warmSet.mProbeShare - (isProbe ? 1 : 0);
+      warmSet.mProbeTokens + warmSet.mProbeShare - (isOutside ? 1 : 0);
     warmSet.mProbeTokens = std::clamp(tokens, kMinProbeTokens, kMaxProbeTokens);
   }
   aTarget.mIsWarm = true;
@@ -264,11 +281,29 @@
            (aMayProbe ? kWarmUpIdleTime : kWarmUpIdleTimeIfNotIdempotent);
 }
 
+Duration
+WarmOrderOf(const PooledTarget& aTarget,
+            TimePoint aNow,
+            std::uint64_t aNodeHash,
+            bool aMayProbe)
+{
+  Duration rank((aTarget.mIdHash ^ aNodeHash) * kHashFactor >> kRankShift);
+  if (aMayProbe) {
+    bool isEqual = aNow - aTarget.mLastRequestAt < kEqualUseTime;
+    return isEqual ? aNow.time_since_epoch() + rank
+                   : aTarget.mLastRequestAt.time_since_epoch();
+  }
+  TimePoint success = aTarget.mPenalty.mLastSuccessAt;
+  bool isEqual = aNow - success < kEqualSuccessTime;
+  return isEqual ? rank - aNow.time_since_epoch() - kMaxRank
+                 : -success.time_since_epoch();
+}
+
 Duration
 ProbeOrderOf(const PooledTarget& aTarget, TimePoint aNow)
 {
   // Below the negated time of any success, by which other targets are ordered.
-  return -aNow.time_since_epoch() -
+  return -aNow.time_since_epoch() - kMaxRank -
          (aNow - aTarget.mLastRequestAt) * aTarget.mSlots / kUsualSlots;
 }
 
--- a/src/TargetConcentration.h
+++ b/src/TargetConcentration.h
@@ -14,8 +14,8 @@
  * period is found only by a request that fails. Spread over all targets, the
  * load finds each gray period of each target, at the cost of at least one
  * failure. Targets that are not needed are therefore left idle. The warm set
- * has the slots in use and a reserve for bursts. It is inactive when the demand
- * comes near to the capacity; targets are then chosen as without it. */
+ * has the slots in use and a reserve for bursts; when the demand comes near to
+ * the capacity, it contains all targets without recent failures. */
 
 /** How far outside of the warm set a target is; the lowest is preferred. */
 constexpr unsigned kRankWarm = 0;
@@ -38,6 +38,7 @@
  * called before RecordGrant. */
 bool
 RecordConcentratedGrant(TargetPool& aPool,
+                        TimePoint aNow,
                         PooledTarget& aTarget,
                         bool aMayProbe);
 
@@ -47,7 +48,7 @@
 HasProbeBudget(const TargetPool& aPool);
 
 /** Returns the rank of a target, kRankWarm, kRankCold or kRankFailed.
- * Precondition: the concentration is active. Pure. */
+ * Precondition: requests are concentrated. Pure. */
 unsigned
 WarmRankOf(const PooledTarget& aTarget, TimePoint aNow);
 
@@ -57,6 +58,17 @@
 bool
 IsWarmUpProbeDue(const PooledTarget& aTarget, TimePoint aNow, bool aMayProbe);
 
+/** Returns the order of a target of the warm set for a request of aNode, as a
+ * time: the lowest goes first. Requests that may be probes go to the least
+ * recently used target, others to the one with the latest success. Among those
+ * used or successful very recently, each node prefers the same targets, so that
+ * its connections to them are used again. Pure. */
+Duration
+WarmOrderOf(const PooledTarget& aTarget,
+            TimePoint aNow,
+            std::uint64_t aNodeHash,
+            bool aMayProbe);
+
 /** Returns the order of a probe among the probes that are due, as a time: the
  * lowest goes first. Slots that have been idle for longer, and targets with
  * more of them, go first, and all probes before the warm set. Pure. */
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -1,6 +1,7 @@
 #include "TargetPool.h"
 
 #include "EventNumbers.h"
+#include "Hash.h"
 
 #include <algorithm>
 
@@ -287,6 +288,7 @@
       std::max(target.mReportedWarmUpUntil, aNow + aVm.mWarmupLeft);
   }
   if (isNew) {
+    target.mIdHash = Hash64(aVm.mAddress);
     target.mFirstSeenAt = aNow;
     target.mNeedsWarmUp = aPool.mHasVmList;
   }
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -96,6 +96,8 @@
    */
   unsigned mTrialSuccesses = 0;
   std::map<ZoneName, AvoidedPath> mAvoidedPaths;
+  /** The hash of the target's name. */
+  std::uint64_t mIdHash = 0;
   /** The target is one of the warm set, on which requests are concentrated. */
   bool mIsWarm = false;
   /** The busy slots of the target's zone, in percent of the slots of its
--- a/src/WarmSet.h
+++ b/src/WarmSet.h
@@ -14,8 +14,7 @@
 {
   /** The service's settings ask for concentration. */
   bool mIsEnabled = false;
-  /** There is enough room for concentration: the warm set is smaller than the
-   * slots of the targets without recent failures. */
+  /** Requests are concentrated: the demand is not far above the capacity. */
   bool mIsActive = false;
   /** The slots that the requests of the proxies of each zone use. It rises at
    * once and falls slowly. */
