Test that the two sends of a request are cancelled one by one

Both sends have the request's id, so that a cancellation could end the wrong one. The test sends a request to two targets over loopback and cancels either; it fails if TargetClient looks up the send by the request alone.

--- a/test/correctness/HedgedRequestsAreAnswered.cpp
+++ b/test/correctness/HedgedRequestsAreAnswered.cpp
@@ -2,6 +2,7 @@
  * because they have a second send: the failure of one send taken for that of
  * the request, a loser that is not cancelled or whose slot is forgotten, and
  * second sends of requests that must run once or whose targets are used up. */
+#include "../support/FaultyTarget.h"
 #include "../support/FleetHelpers.h"
 
 #include "PeerRequestId.h"
@@ -403,3 +404,43 @@
   LONGS_EQUAL(0, offers.mFailures);
   LONGS_EQUAL(0, offers.HeldSlots());
 }
+
+/** Guards against a cancellation that ends the other send of its request: both
+ * have the same request id. */
+TEST(HedgedRequests, SendsOfTheRuntimeAreCancelledOneByOne)
+{
+  for (bool isHedgeCancelled : { false, true }) {
+    boost::asio::io_context loop;
+    TargetDialect dialect = MakeDialect();
+    auto client = TargetClient::Make(loop, dialect);
+    std::array<std::unique_ptr<FaultyTarget>, 2> targets;
+    std::array<std::vector<TargetOutcome>, 2> outcomes;
+    for (std::size_t i = 0; i < 2; ++i) {
+      targets[i] = std::make_unique<FaultyTarget>(loop);
+      targets[i]->mHoldsAnswers = true;
+      targets[i]->mAnswers = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: request-1\r\n"
+        "Signature: s\r\n\r\nok"
+      };
+      TargetSend send = MakeSend(targets[i]->Id(), 1);
+      send.mIsHedge = i == 1;
+      client->Send(send, [&outcomes, i](const TargetResult& aResult) {
+        outcomes[i].push_back(aResult.mOutcome);
+      });
+    }
+    while (!targets[0]->HasRequests() || !targets[1]->HasRequests()) {
+      loop.run_one();
+    }
+    std::size_t cancelled = isHedgeCancelled ? 1 : 0;
+    client->Cancel(1, isHedgeCancelled);
+    targets[0]->Release();
+    targets[1]->Release();
+    while (outcomes[0].empty() || outcomes[1].empty()) {
+      loop.run_one();
+    }
+    LONGS_EQUAL(1, outcomes[cancelled].size());
+    CHECK(outcomes[cancelled][0] == TargetOutcome::Cancelled);
+    LONGS_EQUAL(1, outcomes[1 - cancelled].size());
+    CHECK(outcomes[1 - cancelled][0] == TargetOutcome::Answered);
+  }
+}
--- a/test/performance/Hedges.cpp
+++ b/test/performance/Hedges.cpp
@@ -90,7 +90,11 @@
                                         static_cast<double>(mTimes.size() - 1));
       return static_cast<double>(mTimes[i].count()) / 1000;
     };
-    auto n = static_cast<double>(mSent);
+    auto percent = [](std::size_t aPart, std::size_t aAll) {
+      return aAll == 0
+               ? 0.0
+               : 100 * static_cast<double>(aPart) / static_cast<double>(aAll);
+    };
     std::printf(
       "| %s | %s | %.0f | %.0f | %.0f | %.2f | %.1f | %.1f | %.2f |\n",
       mScenario.mName,
@@ -98,10 +102,10 @@
       ms(0.5),
       ms(0.99),
       ms(0.999),
-      100 * static_cast<double>(mExtra) / n,
-      mExtra == 0 ? 0.0 : 100.0 * mWon / mExtra,
-      mLong == 0 ? 0.0 : 100.0 * mLongRepeated / mLong,
-      100.0 * mDelayedByHedges / n);
+      percent(mExtra, mSent),
+      percent(mWon, mExtra),
+      percent(mLongRepeated, mLong),
+      percent(mDelayedByHedges, mSent));
   }
 
 private:
