--- a/daemons/vanillascaled.cpp
+++ b/daemons/vanillascaled.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 
 using namespace vanillascale;
 
@@ -36,6 +37,19 @@
            : MakeLogAdapter();
 }
 
+/** Makes the memory of large bodies go back to the system as soon as they are
+ * freed. By default, glibc keeps blocks of up to 32 MB after the first one of
+ * their size was freed. */
+void
+ReturnLargeBlocks()
+{
+#ifdef __GLIBC__
+  constexpr int kLargeBlockBytes = 128 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, kLargeBlockBytes);
+#endif
+}
+
 /** Reads the settings again: the file may have changed. */
 tl::expected<Settings, std::string>
 ReadAgain(const std::vector<std::string>& aArguments,
@@ -70,6 +84,7 @@
     return kExitStopped;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  ReturnLargeBlocks();
   auto runtime =
     NodeRuntime::Make(line->mSettings, AdapterFor(line->mSettings), [&] {
       return ReadAgain(arguments, variables);
--- a/src/CallerServer.cpp
+++ b/src/CallerServer.cpp
@@ -33,6 +33,8 @@
       return { kStatusRequestTimeout,
                RunOutcome::NotRun,
                kReasonRequestTooSlow };
+    case HttpProgress::NoRoom:
+      return { kStatusUnavailable, RunOutcome::NotRun, kReasonNoMemory };
     case HttpProgress::Malformed:
     case HttpProgress::Complete:
       return { kStatusBadRequest, RunOutcome::NotRun, kReasonMalformedRequest };
@@ -44,11 +46,12 @@
 
 CallerServer::CallerServer(boost::asio::io_context& aLoop,
                            const PlatformAdapter& aAdapter,
-                           CallerHooks aHooks)
+                           CallerHooks aHooks,
+                           const std::shared_ptr<ByteBudget>& aBudget)
   : mLoop(aLoop)
   , mAdapter(aAdapter)
   , mHooks(std::move(aHooks))
-  , mTargets(TargetClient::Make(aLoop, aAdapter.mTargets))
+  , mTargets(TargetClient::Make(aLoop, aAdapter.mTargets, aBudget))
 {
 }
 
@@ -56,14 +59,23 @@
 CallerServer::Make(boost::asio::io_context& aLoop,
                    const Settings& aSettings,
                    const PlatformAdapter& aAdapter,
-                   CallerHooks aHooks)
+                   CallerHooks aHooks,
+                   std::shared_ptr<ByteBudget> aBudget)
 {
   std::unique_ptr<CallerServer> server(
-    new CallerServer(aLoop, aAdapter, std::move(aHooks)));
+    new CallerServer(aLoop, aAdapter, std::move(aHooks), aBudget));
   server->mLimits.mMessage.mBodyBytes = aSettings.mMaxBodyBytes;
-  server->mLimits.mConnections = aSettings.mMaxCallers;
-  auto http = HttpServer::Make(
-    aLoop, aSettings.mListen, server->mLimits, server->ServerHooks());
+  server->mLimits.mConnections =
+    CallerConnections(aSettings.mMaxCallers, aSettings.mMaxFds);
+  server->mLimits.mReceiving = { aSettings.mMinReceiveRate,
+                                 aSettings.mStallTime };
+  server->mLimits.mRoomTime = aSettings.mMemoryWait;
+  server->mLimits.mSending = { aSettings.mMinSendRate, aSettings.mStallTime };
+  auto http = HttpServer::Make(aLoop,
+                               aSettings.mListen,
+                               server->mLimits,
+                               server->ServerHooks(),
+                               std::move(aBudget));
   if (!http) {
     return tl::make_unexpected(http.error());
   }
@@ -127,11 +139,14 @@
   send.mRequestName = it->second.mName;
   send.mTimeout = left;
   send.mIsIdempotent = aEffect.mIsIdempotent;
+  // The request's body is sent as it is held here, without a copy.
   send.mMessage = ForwardRequest(
     mAdapter.mCallers,
     mAdapter.mTargets,
     *it->second.mMessage,
     { aEffect.mTarget, mHooks.mNameRequest(id), left, aEffect.mAccount });
+  send.mMessage.mSharedBody = std::shared_ptr<const std::string>(
+    it->second.mMessage, &it->second.mMessage->mBody);
   mTargets->Send(send, [this, id](const TargetResult& aResult) {
     mHooks.mPost(TargetRequestEnded{ id,
                                      aResult.mOutcome,
--- a/src/CallerServer.h
+++ b/src/CallerServer.h
@@ -29,12 +29,14 @@
 {
 public:
   /** Listens at the settings' address. aAdapter must outlive the server; the
-   * error says why it can't listen. */
+   * error says why it can't listen. aBudget counts what is held of requests and
+   * answers. */
   static tl::expected<std::unique_ptr<CallerServer>, std::string> Make(
     boost::asio::io_context& aLoop,
     const Settings& aSettings,
     const PlatformAdapter& aAdapter,
-    CallerHooks aHooks);
+    CallerHooks aHooks,
+    std::shared_ptr<ByteBudget> aBudget);
 
   /** Carry out the core's decisions on a request. */
   void Run(const SendToTarget& aEffect);
@@ -57,6 +59,7 @@
   std::size_t CountUnwritten() const { return mServer->CountRequests(); }
   std::size_t CountConnections() const { return mServer->CountConnections(); }
   const TargetClient& Targets() const { return *mTargets; }
+  const HttpServerCounters& Counters() const { return mServer->Counters(); }
 
 private:
   struct OpenRequest
@@ -69,7 +72,8 @@
 
   CallerServer(boost::asio::io_context& aLoop,
                const PlatformAdapter& aAdapter,
-               CallerHooks aHooks);
+               CallerHooks aHooks,
+               const std::shared_ptr<ByteBudget>& aBudget);
   HttpServerHooks ServerHooks();
   void Receive(RequestId aId, std::shared_ptr<const HttpRequest> aMessage);
   HttpResponse Refuse(HttpProgress aProgress) const;
--- a/src/Dialects.cpp
+++ b/src/Dialects.cpp
@@ -28,6 +28,14 @@
  * once in this time. */
 constexpr double kMaxPauseSeconds = 30;
 
+/** An answer, and the bytes of the budget that it takes for as long as anybody
+ * holds it. */
+struct HeldAnswer
+{
+  Answer mAnswer;
+  std::shared_ptr<BudgetCharge> mCharge;
+};
+
 std::string
 ValueOf(const HttpRequest& aRequest, const std::string& aName)
 {
@@ -225,7 +233,7 @@
   event.mKey = ValueOf(aRequest, aDialect.mKey);
   event.mFingerprint =
     Hash64(aRequest.mMethod + " " + event.mHost + aRequest.mTarget,
-           Hash64(aRequest.mBody));
+           Hash64(BodyOf(aRequest)));
   event.mDeadline = DeadlineOf(aDialect, aRequest);
   event.mIsFirstAttempt = ValueOf(aRequest, aDialect.mFirstAttempt) == "true";
   event.mWallTime = aNow;
@@ -241,7 +249,6 @@
   HttpRequest request;
   request.mMethod = aRequest.mMethod;
   request.mTarget = aRequest.mTarget;
-  request.mBody = aRequest.mBody;
   for (const Header& it : aRequest.mHeaders) {
     bool isReplaced =
       IsSameName(it.mName, aCaller.mDeadlineMs) ||
@@ -306,7 +313,8 @@
     return {};
   }
   TargetStatements statements = ReadStatements(aDialect, aResponse);
-  auto answer = std::make_shared<Answer>();
+  auto held = std::make_shared<HeldAnswer>();
+  Answer* answer = &held->mAnswer;
   answer->mStatus = aResponse.mStatus;
   for (const Header& it : aResponse.mHeaders) {
     if (!IsHopByHop(aResponse.mHeaders, it.mName)) {
@@ -314,9 +322,10 @@
     }
   }
   answer->mBody = std::move(aResponse.mBody);
+  held->mCharge = std::move(aResponse.mCharge);
   bool isError = answer->mStatus >= kFirstServerError;
   return { isError ? TargetOutcome::ServerError : TargetOutcome::Answered,
-           std::move(answer),
+           std::shared_ptr<const Answer>(held, answer),
            statements,
            false };
 }
@@ -356,7 +365,8 @@
   if (aAnswer.mAnswer) {
     response.mStatus = aAnswer.mAnswer->mStatus;
     response.mHeaders = aAnswer.mAnswer->mHeaders;
-    response.mBody = aAnswer.mAnswer->mBody;
+    response.mSharedBody = std::shared_ptr<const std::string>(
+      aAnswer.mAnswer, &aAnswer.mAnswer->mBody);
     add(aDialect.mOutcome, std::move(outcome));
     add(aDialect.mReason, verdict.mReason);
     return response;
--- a/src/Dialects.h
+++ b/src/Dialects.h
@@ -98,7 +98,8 @@
   std::optional<AccountName> mAccount{};
 };
 
-/** The request as it goes to a target. Pure. */
+/** The head of a request as it goes to a target. The body is left out: it is
+ * sent as it is, without a copy. Pure. */
 HttpRequest
 ForwardRequest(const CallerDialect& aCaller,
                const TargetDialect& aTarget,
--- a/src/Document.h
+++ b/src/Document.h
@@ -137,7 +137,7 @@
   std::size_t mHeadBytes = 16UL * 1024;
   /** The maximum size of a request's body, in bytes. */
   std::size_t mBodyBytes = 64UL * 1024 * 1024;
-  /** The maximum time from the first byte of a request to its last. */
+  /** The maximum time from a request's first byte to the end of its head. */
   Duration mRequestTime{ 0 };
   /** The maximum idle time between two requests on one connection. */
   Duration mIdleTime{ 0 };
--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -23,6 +23,7 @@
   { kEventLinesDropped, "LinesDropped" },
   { kEventLoopDelayed, "LoopDelayed" },
   { kEventPeerMessagesDropped, "PeerMessagesDropped" },
+  { kEventCallersLimited, "CallersLimited" },
   { kEventRequestRefused, "RequestRefused" },
   { kEventRequestEnded, "RequestEnded" },
   { kEventRequestRetried, "RequestRetried" },
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -15,6 +15,7 @@
 constexpr int kEventLinesDropped = 108;
 constexpr int kEventLoopDelayed = 109;
 constexpr int kEventPeerMessagesDropped = 110;
+constexpr int kEventCallersLimited = 111;
 
 constexpr int kEventRequestRefused = 200;
 constexpr int kEventRequestEnded = 202;
--- a/src/HttpExchange.cpp
+++ b/src/HttpExchange.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
+#include <optional>
 
 namespace vanillascale {
 
@@ -17,6 +18,11 @@
 constexpr std::size_t kReadBytes = 16UL * 1024;
 /** Some round trips between distant zones; a kernel's default is minutes. */
 constexpr unsigned kUnansweredDataMs = 4000;
+/** The kernel's buffer for an answer that is not read for lack of memory: 40 MB
+ * a second at the 3 ms between zones. */
+constexpr int kReceiveBufferBytes = 128 * 1024;
+/** How often an exchange that lacks memory tries again. */
+constexpr Duration kRoomInterval = std::chrono::milliseconds(20);
 
 class TcpExchange
   : public HttpExchange
@@ -33,7 +39,8 @@
     , mCallback(std::move(aCallback))
     , mDeadline(aLoop)
     , mConnectDeadline(aLoop)
-    , mParser(ResponseParser::Make(mRequest.mLimits, mRequest.mIsToHead))
+    , mRoomTimer(aLoop)
+    , mParser(MakeParser())
   {
   }
 
@@ -52,6 +59,12 @@
       return;
     }
     mSocket = std::make_unique<tcp::socket>(mLoop);
+    if (mRequest.mMemory) {
+      error_code ec;
+      mSocket->open(tcp::v4(), ec);
+      mSocket->set_option(
+        boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ec);
+    }
     mConnectDeadline.expires_after(mRequest.mConnectTimeout);
     mConnectDeadline.async_wait(
       [self = shared_from_this()](const error_code& aError) {
@@ -87,9 +100,14 @@
   /** Reads while it writes: a server may answer before it has read all. */
   void Write()
   {
+    std::array<boost::asio::const_buffer, 2> buffers{
+      boost::asio::buffer(mRequest.mBytes),
+      mRequest.mBody ? boost::asio::buffer(*mRequest.mBody)
+                     : boost::asio::const_buffer()
+    };
     boost::asio::async_write(
       *mSocket,
-      boost::asio::buffer(mRequest.mBytes),
+      buffers,
       [self = shared_from_this()](const error_code& aError, std::size_t) {
         // An answer may have come already: how the exchange ends is up to the
         // reading side.
@@ -118,10 +136,20 @@
       return;
     }
     mPending.append(mBytes.data(), aCount);
+    Continue(aError);
+  }
+
+  /** Parses what has been received, and goes on reading. */
+  void Continue(const error_code& aError)
+  {
     Parse();
     if (mIsEnded) {
       return;
     }
+    if (mParser->Wanted().mBytes > 0) {
+      AwaitRoom(aError);
+      return;
+    }
     // The parser leaves only a part of a head or of a chunk's head.
     if (mPending.size() > mRequest.mLimits.mHeadBytes + kReadBytes) {
       End(ExchangeEnd::Broken);
@@ -137,6 +165,41 @@
     }
   }
 
+  /** Tries again later to get memory for the body. The exchange's deadline
+   * bounds how long. */
+  void AwaitRoom(const error_code& aError)
+  {
+    if (!mWait) {
+      mWait.emplace(mRequest.mMemory);
+    }
+    mRoomTimer.expires_after(kRoomInterval);
+    mRoomTimer.async_wait(
+      [self = shared_from_this(), aError](const error_code& aStopped) {
+        if (!aStopped && !self->mIsEnded) {
+          self->Continue(aError);
+        }
+      });
+  }
+
+  /** Takes memory for the body, if there is any. */
+  bool TakeRoom()
+  {
+    BytesWanted wanted = mParser->Wanted();
+    bool hasRoom = wanted.mBytes > 0 && mRequest.mMemory->MayTake(
+                                          wanted.mBytes, wanted.mMessageBytes);
+    if (hasRoom) {
+      mParser->Reserve();
+      mWait.reset();
+    }
+    return hasRoom;
+  }
+
+  std::unique_ptr<ResponseParser> MakeParser() const
+  {
+    return ResponseParser::Make(
+      mRequest.mLimits, mRequest.mIsToHead, mRequest.mMemory);
+  }
+
   void OnEof()
   {
     if (mIsEnded) {
@@ -184,6 +247,9 @@
         mPending.erase(0, mParser->Feed(mPending));
       }
       if (mParser->Progress() == HttpProgress::Incomplete) {
+        if (TakeRoom()) {
+          continue;
+        }
         return;
       }
       if (mParser->Progress() != HttpProgress::Complete) {
@@ -200,7 +266,7 @@
         End(ExchangeEnd::Broken);
         return;
       }
-      mParser = ResponseParser::Make(mRequest.mLimits, mRequest.mIsToHead);
+      mParser = MakeParser();
     }
   }
 
@@ -212,6 +278,8 @@
     mIsEnded = true;
     mDeadline.cancel();
     mConnectDeadline.cancel();
+    mRoomTimer.cancel();
+    mWait.reset();
     if (mRequest.mByteBudget) {
       *mRequest.mByteBudget += mReceivedBytes;
     }
@@ -241,6 +309,9 @@
   Callback mCallback;
   boost::asio::steady_timer mDeadline;
   boost::asio::steady_timer mConnectDeadline;
+  boost::asio::steady_timer mRoomTimer;
+  /** Set while the exchange waits for memory. */
+  std::optional<BudgetWait> mWait;
   std::unique_ptr<ResponseParser> mParser;
   std::array<char, kReadBytes> mBytes{};
   std::string mPending;
--- a/src/HttpExchange.h
+++ b/src/HttpExchange.h
@@ -30,8 +30,10 @@
 struct ExchangeRequest
 {
   Endpoint mTo;
-  /** The serialized request. */
+  /** The serialized request, or its head if mBody is set. */
   std::string mBytes;
+  /** Follows mBytes; null for nothing. */
+  std::shared_ptr<const std::string> mBody;
   bool mIsToHead = false;
   Duration mConnectTimeout{ 0 };
   /** From now to the end of the answer. */
@@ -42,6 +44,9 @@
   /** The bytes that all exchanges with this pointer may still receive while
    * they last; null does not bound them together. */
   std::shared_ptr<std::size_t> mByteBudget;
+  /** The budget of the process, which counts the answer. While it has no room,
+   * the exchange reads no further. Null counts nothing. */
+  std::shared_ptr<ByteBudget> mMemory;
   /** Whether an answer belongs to this request; a false one is skipped and the
    * next awaited. Empty accepts all. */
   std::function<bool(const HttpResponse&)> mAccepts;
--- a/src/HttpMessage.cpp
+++ b/src/HttpMessage.cpp
@@ -138,8 +138,20 @@
            });
 }
 
+const std::string&
+BodyOf(const HttpRequest& aRequest)
+{
+  return aRequest.mSharedBody ? *aRequest.mSharedBody : aRequest.mBody;
+}
+
+const std::string&
+BodyOf(const HttpResponse& aResponse)
+{
+  return aResponse.mSharedBody ? *aResponse.mSharedBody : aResponse.mBody;
+}
+
 std::string
-Serialize(const HttpRequest& aRequest)
+SerializeHead(const HttpRequest& aRequest)
 {
   std::string bytes;
   bytes.append(aRequest.mMethod)
@@ -150,38 +162,54 @@
     AppendHeader(bytes, it.mName, it.mValue);
   }
   bool mayLackBody = aRequest.mMethod == "GET" || aRequest.mMethod == "HEAD";
-  if (!aRequest.mBody.empty() || !mayLackBody) {
-    AppendHeader(
-      bytes, "Content-Length", std::to_string(aRequest.mBody.size()));
+  std::size_t length = BodyOf(aRequest).size();
+  if (length > 0 || !mayLackBody) {
+    AppendHeader(bytes, "Content-Length", std::to_string(length));
   }
   if (!aRequest.mKeepsAlive) {
     AppendHeader(bytes, "Connection", "close");
   }
-  bytes.append("\r\n").append(aRequest.mBody);
-  return bytes;
+  return bytes.append("\r\n");
 }
 
 std::string
-Serialize(const HttpResponse& aResponse, bool aIsToHead)
+Serialize(const HttpRequest& aRequest)
+{
+  return SerializeHead(aRequest).append(BodyOf(aRequest));
+}
+
+bool
+HasBody(const HttpResponse& aResponse, bool aIsToHead)
+{
+  return aResponse.mStatus >= kFirstFinalStatus &&
+         aResponse.mStatus != kStatusNoContent &&
+         aResponse.mStatus != kStatusNotModified && !aIsToHead;
+}
+
+std::string
+SerializeHead(const HttpResponse& aResponse, bool aIsToHead)
 {
   std::string bytes = "HTTP/1.1 " + std::to_string(aResponse.mStatus) + " " +
                       ReasonPhrase(aResponse.mStatus) + "\r\n";
   for (const Header& it : aResponse.mHeaders) {
     AppendHeader(bytes, it.mName, it.mValue);
   }
-  bool hasBody = aResponse.mStatus >= kFirstFinalStatus &&
-                 aResponse.mStatus != kStatusNoContent &&
-                 aResponse.mStatus != kStatusNotModified && !aIsToHead;
-  if (hasBody) {
+  if (HasBody(aResponse, aIsToHead)) {
     AppendHeader(
-      bytes, "Content-Length", std::to_string(aResponse.mBody.size()));
+      bytes, "Content-Length", std::to_string(BodyOf(aResponse).size()));
   }
   if (aResponse.mStatus >= kFirstFinalStatus && !aResponse.mKeepsAlive) {
     AppendHeader(bytes, "Connection", "close");
   }
-  bytes.append("\r\n");
-  if (hasBody) {
-    bytes.append(aResponse.mBody);
+  return bytes.append("\r\n");
+}
+
+std::string
+Serialize(const HttpResponse& aResponse, bool aIsToHead)
+{
+  std::string bytes = SerializeHead(aResponse, aIsToHead);
+  if (HasBody(aResponse, aIsToHead)) {
+    bytes.append(BodyOf(aResponse));
   }
   return bytes;
 }
--- a/src/HttpParser.cpp
+++ b/src/HttpParser.cpp
@@ -1,8 +1,10 @@
 #include "HttpParser.h"
 
+#include "BodyBuffer.h"
+
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
 
 namespace vanillascale {
@@ -20,6 +22,11 @@
 /** The shortest rest of a chunked body: a last chunk of "0" and an empty line.
  */
 constexpr std::size_t kLeastChunkedBytes = 5;
+/** Bytes of a body that are parsed at once, so that its memory is asked for in
+ * time. Heads of chunks and trailers have to fit in. */
+constexpr std::size_t kPieceBytes = 16UL * 1024;
+/** What a field takes besides its text, in Beast's list and in ours. */
+constexpr std::size_t kFieldBytes = 192;
 
 HttpProgress
 ProgressOf(const error_code& aError)
@@ -74,14 +81,6 @@
   return total;
 }
 
-template<typename Parser>
-std::size_t
-FeedParser(Parser& aParser, std::string_view aBytes, HttpProgress& aProgress)
-{
-  return FeedUntil(
-    aParser, aBytes, aProgress, [&] { return aParser.is_done(); });
-}
-
 /** Whether a line of a head continues the field before it. Beast joins the two,
  * which RFC 9112 section 5.2 allows, but a broken sender did not mean the value
  * that results. */
@@ -126,13 +125,156 @@
   return headers;
 }
 
+/** The memory of a head's fields. */
+std::size_t
+SizeOf(const std::vector<Header>& aHeaders)
+{
+  std::size_t size = 0;
+  for (const Header& it : aHeaders) {
+    size += kFieldBytes + it.mName.size() + it.mValue.size();
+  }
+  return size;
+}
+
+/** Parses the body of a message whose head is complete, and counts the memory
+ * of both. */
+template<typename Parser>
+class BodyFeeder
+{
+public:
+  BodyFeeder(const HttpLimits& aLimits, std::shared_ptr<ByteBudget> aBudget)
+    : mMaxBytes(aLimits.mBodyBytes)
+    , mBudget(std::move(aBudget))
+  {
+  }
+
+  /** Precondition: the head is complete. */
+  void Begin(Parser& aParser, std::size_t aHeadBytes)
+  {
+    BodyBuffer& body = aParser.get().body();
+    body.mMaxBytes = mMaxBytes;
+    body.mOtherBytes = aHeadBytes;
+    if (mBudget) {
+      body.mCharge = std::make_shared<BudgetCharge>(mBudget);
+      body.mCharge->Set(aHeadBytes);
+    }
+  }
+
+  /** Returns nothing without a budget. */
+  BytesWanted Wanted(const Parser& aParser) const
+  {
+    return mBudget ? Missing(aParser) : BytesWanted{};
+  }
+
+  void Reserve(Parser& aParser)
+  {
+    aParser.get().body().Reserve(NextCapacity(aParser));
+  }
+
+  /** Feeds the body as far as there is room for it. */
+  std::size_t Feed(Parser& aParser,
+                   std::string_view aBytes,
+                   HttpProgress& aProgress)
+  {
+    std::size_t total = 0;
+    while (aProgress == HttpProgress::Incomplete && total < aBytes.size()) {
+      if (Missing(aParser).mBytes > 0) {
+        if (mBudget) {
+          break;
+        }
+        Reserve(aParser);
+      }
+      std::string_view piece = aBytes.substr(total, kPieceBytes);
+      std::size_t n =
+        FeedUntil(aParser, piece, aProgress, [&] { return aParser.is_done(); });
+      total += n;
+      if (n == 0) {
+        bool isOversized =
+          piece.size() == kPieceBytes && aProgress == HttpProgress::Incomplete;
+        aProgress = isOversized ? HttpProgress::Malformed : aProgress;
+        break;
+      }
+    }
+    return total;
+  }
+
+private:
+  /** What the body's memory lacks for the next piece. */
+  BytesWanted Missing(const Parser& aParser) const
+  {
+    if (!aParser.is_header_done() || aParser.is_done()) {
+      return {};
+    }
+    const BodyBuffer& body = aParser.get().body();
+    std::size_t capacity = NextCapacity(aParser);
+    return { capacity - std::min(capacity, body.Capacity()), capacity };
+  }
+
+  /** The capacity for the next piece. A body with a length gets room for all of
+   * it at once: its pages are used as its bytes come. */
+  std::size_t NextCapacity(const Parser& aParser) const
+  {
+    const BodyBuffer& body = aParser.get().body();
+    auto length = aParser.content_length();
+    std::size_t more = length
+                         ? static_cast<std::size_t>(*length) - body.mText.size()
+                         : std::min(kPieceBytes, mMaxBytes - body.mText.size());
+    return length ? std::max(body.Capacity(), body.mText.size() + more)
+                  : body.CapacityFor(more);
+  }
+
+  std::size_t mMaxBytes;
+  std::shared_ptr<ByteBudget> mBudget;
+};
+
 } // namespace
 
 struct RequestParser::Impl
 {
-  http::request_parser<http::string_body> mParser;
+  using Parser = http::request_parser<BufferedBody>;
+
+  Impl(const HttpLimits& aLimits, std::shared_ptr<ByteBudget> aBudget)
+    : mFeeder(aLimits, std::move(aBudget))
+  {
+  }
+
+  Parser mParser;
+  BodyFeeder<Parser> mFeeder;
   HttpProgress mProgress = HttpProgress::Incomplete;
+  /** The head, once it is complete. */
+  HttpRequest mRequest;
+  bool mAwaitsContinue = false;
   bool mHasBegun = false;
+
+  /** Takes the fields out before Beast adds those of a trailer, which must not
+   * be taken for fields of the head (RFC 9110 section 6.5.1). */
+  void TakeHead()
+  {
+    const auto& head = mParser.get();
+    mRequest.mMethod = std::string(head.method_string());
+    mRequest.mTarget = std::string(head.target());
+    mRequest.mHeaders = HeadersOf(head);
+    mRequest.mKeepsAlive = head.keep_alive();
+    mAwaitsContinue =
+      IsSameName(std::string(head[http::field::expect]), "100-continue");
+    mFeeder.Begin(mParser, SizeOf(mRequest.mHeaders) + mRequest.mTarget.size());
+  }
+
+  std::size_t Feed(std::string_view aBytes)
+  {
+    std::size_t total = 0;
+    if (!mParser.is_header_done()) {
+      total = FeedUntil(
+        mParser, aBytes, mProgress, [&] { return mParser.is_header_done(); });
+      if (mParser.is_header_done()) {
+        TakeHead();
+      }
+    }
+    if (mParser.is_header_done()) {
+      total += mFeeder.Feed(mParser, aBytes.substr(total), mProgress);
+    }
+    return total;
+  }
 };
 
 RequestParser::RequestParser(std::unique_ptr<Impl> aImpl)
@@ -143,10 +285,12 @@
 RequestParser::~RequestParser() = default;
 
 std::unique_ptr<RequestParser>
-RequestParser::Make(const HttpLimits& aLimits)
+RequestParser::Make(const HttpLimits& aLimits,
+                    std::shared_ptr<ByteBudget> aBudget)
 {
-  auto impl = std::make_unique<Impl>();
-  impl->mParser.eager(true);
+  auto impl = std::make_unique<Impl>(aLimits, std::move(aBudget));
+  // Stops behind the head, so that trailers can be told from its fields.
+  impl->mParser.eager(false);
   impl->mParser.header_limit(static_cast<std::uint32_t>(aLimits.mHeadBytes));
   impl->mParser.body_limit(aLimits.mBodyBytes);
   return std::unique_ptr<RequestParser>(new RequestParser(std::move(impl)));
@@ -155,9 +299,8 @@
 std::size_t
 RequestParser::Feed(std::string_view aBytes)
 {
-  std::size_t n = FeedParser(mImpl->mParser, aBytes, mImpl->mProgress);
   mImpl->mHasBegun = mImpl->mHasBegun || !aBytes.empty();
-  return n;
+  return mImpl->Feed(aBytes);
 }
 
 HttpProgress
@@ -166,14 +309,37 @@
   return mImpl->mProgress;
 }
 
+BytesWanted
+RequestParser::Wanted() const
+{
+  return mImpl->mProgress == HttpProgress::Incomplete
+           ? mImpl->mFeeder.Wanted(mImpl->mParser)
+           : BytesWanted{};
+}
+
+void
+RequestParser::Reserve()
+{
+  mImpl->mFeeder.Reserve(mImpl->mParser);
+}
+
+std::size_t
+RequestParser::HeldBytes() const
+{
+  const auto& charge = mImpl->mParser.get().body().mCharge;
+  return charge ? charge->Bytes() : 0;
+}
+
+bool
+RequestParser::IsHeadDone() const
+{
+  return mImpl->mParser.is_header_done();
+}
+
 bool
 RequestParser::AwaitsContinue() const
 {
-  const auto& parser = mImpl->mParser;
-  return mImpl->mProgress == HttpProgress::Incomplete &&
-         parser.is_header_done() &&
-         IsSameName(std::string(parser.get()[http::field::expect]),
-                    "100-continue");
+  return mImpl->mProgress == HttpProgress::Incomplete && mImpl->mAwaitsContinue;
 }
 
 bool
@@ -185,21 +351,31 @@
 HttpRequest
 RequestParser::Take()
 {
-  auto message = mImpl->mParser.release();
-  HttpRequest request;
-  request.mMethod = std::string(message.method_string());
-  request.mTarget = std::string(message.target());
-  request.mHeaders = HeadersOf(message);
-  request.mKeepsAlive = message.keep_alive();
-  request.mBody = std::move(message.body());
+  HttpRequest request = std::move(mImpl->mRequest);
+  BodyBuffer& body = mImpl->mParser.get().body();
+  request.mBody = std::move(body.mText);
+  request.mCharge = std::move(body.mCharge);
   return request;
 }
 
 struct ResponseParser::Impl
 {
+  using Parser = http::response_parser<BufferedBody>;
+
+  Impl(const HttpLimits& aLimits,
+       bool aIsToHead,
+       std::shared_ptr<ByteBudget> aBudget)
+    : mLimits(aLimits)
+    , mIsToHead(aIsToHead)
+    , mFeeder(aLimits, std::move(aBudget))
+  {
+    Begin();
+  }
+
   HttpLimits mLimits;
   bool mIsToHead = false;
-  std::optional<http::response_parser<http::string_body>> mParser;
+  BodyFeeder<Parser> mFeeder;
+  std::optional<Parser> mParser;
   HttpProgress mProgress = HttpProgress::Incomplete;
   /** The head, once it is complete. */
   HttpResponse mResponse;
@@ -231,7 +407,7 @@
       }
     }
     if (mProgress == HttpProgress::Incomplete && mParser->is_header_done()) {
-      total += FeedParser(*mParser, aBytes.substr(total), mProgress);
+      total += mFeeder.Feed(*mParser, aBytes.substr(total), mProgress);
     }
     return total;
   }
@@ -253,6 +429,7 @@
     mResponse.mStatus = head.result_int();
     mResponse.mHeaders = HeadersOf(head);
     mResponse.mKeepsAlive = head.keep_alive();
+    mFeeder.Begin(*mParser, SizeOf(mResponse.mHeaders));
   }
 
   bool IsInterim() const
@@ -271,12 +448,11 @@
 ResponseParser::~ResponseParser() = default;
 
 std::unique_ptr<ResponseParser>
-ResponseParser::Make(const HttpLimits& aLimits, bool aIsToHead)
+ResponseParser::Make(const HttpLimits& aLimits,
+                     bool aIsToHead,
+                     std::shared_ptr<ByteBudget> aBudget)
 {
-  auto impl = std::make_unique<Impl>();
-  impl->mLimits = aLimits;
-  impl->mIsToHead = aIsToHead;
-  impl->Begin();
+  auto impl = std::make_unique<Impl>(aLimits, aIsToHead, std::move(aBudget));
   return std::unique_ptr<ResponseParser>(new ResponseParser(std::move(impl)));
 }
 
@@ -316,11 +492,27 @@
   return mImpl->mProgress;
 }
 
+BytesWanted
+ResponseParser::Wanted() const
+{
+  return mImpl->mProgress == HttpProgress::Incomplete
+           ? mImpl->mFeeder.Wanted(*mImpl->mParser)
+           : BytesWanted{};
+}
+
+void
+ResponseParser::Reserve()
+{
+  mImpl->mFeeder.Reserve(*mImpl->mParser);
+}
+
 HttpResponse
 ResponseParser::Take()
 {
   HttpResponse response = std::move(mImpl->mResponse);
-  response.mBody = std::move(mImpl->mParser->get().body());
+  BodyBuffer& body = mImpl->mParser->get().body();
+  response.mBody = std::move(body.mText);
+  response.mCharge = std::move(body.mCharge);
   return response;
 }
 
--- a/src/HttpParser.h
+++ b/src/HttpParser.h
@@ -14,7 +14,9 @@
   Complete,
   Malformed,
   HeadTooLarge,
-  BodyTooLarge
+  BodyTooLarge,
+  /** The process has no memory for the message. */
+  NoRoom
 };
 
 /** How large a message may be. */
@@ -24,11 +26,23 @@
   std::size_t mBodyBytes = 64UL * 1024 * 1024;
 };
 
+/** Bytes of a budget that a parser needs before it takes in more of a body. */
+struct BytesWanted
+{
+  std::size_t mBytes = 0;
+  /** How large the message is, as far as it is known. */
+  std::size_t mMessageBytes = 0;
+};
+
 /** Parses one request from bytes that come in pieces. Not thread safe. */
 class RequestParser
 {
 public:
-  static std::unique_ptr<RequestParser> Make(const HttpLimits& aLimits);
+  /** With a budget, the parser counts what it holds and takes in a body only
+   * after Reserve; so does the request that is taken out. */
+  static std::unique_ptr<RequestParser> Make(
+    const HttpLimits& aLimits,
+    std::shared_ptr<ByteBudget> aBudget = nullptr);
   ~RequestParser();
 
   /** Takes bytes in and returns how many were consumed; the others have to be
@@ -38,6 +52,17 @@
 
   HttpProgress Progress() const;
 
+  /** What Feed needs to take in more; nothing without a budget. */
+  BytesWanted Wanted() const;
+
+  /** Takes the wanted bytes from the budget. */
+  void Reserve();
+
+  /** The bytes of the budget that are taken. */
+  std::size_t HeldBytes() const;
+
+  bool IsHeadDone() const;
+
   /** The head is complete, and the caller waits for "100 Continue" before it
    * sends the body. */
   bool AwaitsContinue() const;
@@ -59,12 +84,16 @@
 {
 public:
   /** aIsToHead: the answer is to a HEAD request and has no body. */
-  static std::unique_ptr<ResponseParser> Make(const HttpLimits& aLimits,
-                                              bool aIsToHead);
+  static std::unique_ptr<ResponseParser> Make(
+    const HttpLimits& aLimits,
+    bool aIsToHead,
+    std::shared_ptr<ByteBudget> aBudget = nullptr);
   ~ResponseParser();
 
-  /** As RequestParser::Feed. */
+  /** As those of RequestParser. */
   std::size_t Feed(std::string_view aBytes);
+  BytesWanted Wanted() const;
+  void Reserve();
 
   /** The connection has ended in order; this completes an answer that has no
    * length. */
--- a/src/HttpServer.h
+++ b/src/HttpServer.h
@@ -1,6 +1,8 @@
 #ifndef VANILLASCALE_HTTPSERVER_H
 #define VANILLASCALE_HTTPSERVER_H
 
+#include "ByteBudget.h"
+#include "CallerProgress.h"
 #include "Clock.h"
 #include "HttpParser.h"
 #include "Ids.h"
@@ -17,11 +19,35 @@
 struct HttpServerLimits
 {
   HttpLimits mMessage;
-  /** From a request's first byte to its end. */
+  /** From a request's first byte to the end of its head. */
   Duration mRequestTime = std::chrono::seconds(10);
   /** Without a request in progress. */
   Duration mIdleTime = std::chrono::seconds(60);
   std::size_t mConnections = 2000;
+  /** For bodies, from the end of the head on. */
+  TransferLimits mReceiving;
+  /** For answers. */
+  TransferLimits mSending;
+  /** How long a request waits for memory. */
+  Duration mRoomTime = std::chrono::seconds(5);
+};
+
+/** Counts of what limits did to connections; they only rise. */
+struct HttpServerCounters
+{
+  /** Requests that were not read for a while for lack of memory. */
+  std::uint64_t mWaited = 0;
+  /** Requests that were refused for lack of memory. */
+  std::uint64_t mRefusedForRoom = 0;
+  /** Answers that were cut off because others needed their memory. */
+  std::uint64_t mClosedForRoom = 0;
+  /** Requests that came too slowly. */
+  std::uint64_t mTooSlow = 0;
+  /** Connections whose answers were read too slowly. */
+  std::uint64_t mSlowReaders = 0;
+  /** Connections that were closed at once, or for another one, since there were
+   * too many. */
+  std::uint64_t mOverConnections = 0;
 };
 
 /** What happens on a server's connections. */
@@ -42,12 +68,14 @@
 class HttpServer
 {
 public:
-  /** Listens at an endpoint. The error says why that can't be. */
+  /** Listens at an endpoint. aBudget counts what the connections hold; null
+   * counts nothing. The error says why it can't listen. */
   static tl::expected<std::unique_ptr<HttpServer>, std::string> Make(
     boost::asio::io_context& aLoop,
     const Endpoint& aEndpoint,
     const HttpServerLimits& aLimits,
-    HttpServerHooks aHooks);
+    HttpServerHooks aHooks,
+    std::shared_ptr<ByteBudget> aBudget = nullptr);
 
   virtual ~HttpServer() = default;
 
@@ -67,6 +95,8 @@
 
   /** Requests that are not answered yet, or whose answer is not written. */
   virtual std::size_t CountRequests() const = 0;
+
+  virtual const HttpServerCounters& Counters() const = 0;
 };
 
 } // namespace vanillascale
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -183,6 +183,37 @@
   }
 }
 
+/** Adds the budget of bytes and what limits did to callers. */
+void
+AddCallerMetrics(prometheus::Registry& aRegistry,
+                 const RuntimeCounters& aRuntime)
+{
+  auto addBytes = [&](const char* aKind, std::size_t aBytes) {
+    AddGauge(aRegistry,
+             "vanillascale_held_bytes",
+             "Bytes that may be and that are held for callers, targets and "
+             "peers",
+             static_cast<double>(aBytes),
+             { { "kind", aKind } });
+  };
+  addBytes("budget", aRuntime.mBudgetBytes);
+  addBytes("now", aRuntime.mHeldBytes);
+  addBytes("most", aRuntime.mMostHeldBytes);
+  auto addLimited = [&](const char* aCause, std::uint64_t aCount) {
+    AddCounter(aRegistry,
+               "vanillascale_limited_callers_total",
+               "Callers that a limit made wait, refused or closed",
+               static_cast<double>(aCount),
+               { { "cause", aCause } });
+  };
+  addLimited("waited", aRuntime.mCallers.mWaited);
+  addLimited("refused_no_memory", aRuntime.mCallers.mRefusedForRoom);
+  addLimited("closed_no_memory", aRuntime.mCallers.mClosedForRoom);
+  addLimited("request_too_slow", aRuntime.mCallers.mTooSlow);
+  addLimited("read_too_slowly", aRuntime.mCallers.mSlowReaders);
+  addLimited("too_many_connections", aRuntime.mCallers.mOverConnections);
+}
+
 void
 AddRuntimeMetrics(prometheus::Registry& aRegistry,
                   const RuntimeCounters& aRuntime)
@@ -191,6 +222,7 @@
            "vanillascale_caller_connections",
            "Open connections from callers",
            static_cast<double>(aRuntime.mCallerConnections));
+  AddCallerMetrics(aRegistry, aRuntime);
   AddGauge(aRegistry,
            "vanillascale_kept_target_connections",
            "Idle connections to targets that are kept for reuse",
--- a/src/NodeReport.h
+++ b/src/NodeReport.h
@@ -1,6 +1,7 @@
 #ifndef VANILLASCALE_NODEREPORT_H
 #define VANILLASCALE_NODEREPORT_H
 
+#include "HttpServer.h"
 #include "Node.h"
 #include "PeerLinks.h"
 
@@ -20,6 +21,12 @@
   std::uint64_t mDroppedLogLines = 0;
   /** Calls to the platform, indexed by the alternative of PlatformCall. */
   std::array<std::uint64_t, 4> mPlatformCalls{};
+  /** The budget of the process, in bytes. */
+  std::size_t mBudgetBytes = 0;
+  std::size_t mHeldBytes = 0;
+  std::size_t mMostHeldBytes = 0;
+  /** Actions of limits on callers. */
+  HttpServerCounters mCallers;
   /** Longest delay of a tick behind its due time. */
   Duration mMaxTimerLag{ 0 };
 };
--- a/src/NodeRuntime.cpp
+++ b/src/NodeRuntime.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <limits>
+#include <sys/resource.h>
 #include <unistd.h>
 
 namespace vanillascale {
@@ -36,6 +38,11 @@
 /** A timer that is later than this is logged: it is a tenth of the time in
  * which a configuration has to be in force. */
 constexpr Duration kLoggedTimerLag = milliseconds(200);
+/** How often it is logged what limits did to callers. */
+constexpr Duration kLimitLogInterval = std::chrono::seconds(1);
+/** Admin pages are read by few, and their requests have no body to speak of. */
+constexpr std::size_t kAdminConnections = 32;
+constexpr std::size_t kAdminBodyBytes = 64UL * 1024;
 
 TimePoint
 Now()
@@ -50,6 +57,32 @@
   return aEndpoint.mHost + ":" + std::to_string(aEndpoint.mPort);
 }
 
+/** Returns the settings with the descriptors that the process can have. */
+Settings
+WithDescriptors(Settings aSettings)
+{
+  rlimit limit{};
+  bool isKnown = getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+                 limit.rlim_cur < std::numeric_limits<unsigned>::max();
+  unsigned most = isKnown ? static_cast<unsigned>(limit.rlim_cur)
+                          : std::numeric_limits<unsigned>::max();
+  aSettings.mMaxFds =
+    aSettings.mMaxFds == 0 ? most : std::min(aSettings.mMaxFds, most);
+  return aSettings;
+}
+
+/** Whether limits did anything to callers between two counts. */
+bool
+HaveActed(const HttpServerCounters& aFrom, const HttpServerCounters& aTo)
+{
+  return aTo.mWaited != aFrom.mWaited ||
+         aTo.mRefusedForRoom != aFrom.mRefusedForRoom ||
+         aTo.mClosedForRoom != aFrom.mClosedForRoom ||
+         aTo.mTooSlow != aFrom.mTooSlow ||
+         aTo.mSlowReaders != aFrom.mSlowReaders ||
+         aTo.mOverConnections != aFrom.mOverConnections;
+}
+
 NodeOptions
 IdentityOf(const Settings& aSettings, const PlatformAdapter& aAdapter)
 {
@@ -89,6 +122,8 @@
   boost::asio::steady_timer mTickTimer;
   boost::asio::steady_timer mSweepTimer;
   PlatformPort mPlatform;
+  /** What is held for callers, targets and peers together. */
+  std::shared_ptr<ByteBudget> mBudget;
   std::unique_ptr<PeerLinks> mLinks;
   std::unique_ptr<CallerServer> mCallers;
   std::vector<std::unique_ptr<HttpServer>> mAdminServers;
@@ -101,11 +136,13 @@
   std::uint64_t mLimitsRevision = 0;
   /** The messages to peers whose loss has been logged. */
   std::uint64_t mLoggedDrops = 0;
+  HttpServerCounters mLoggedCallers;
+  TimePoint mCallersLoggedAt{};
   TimePoint mStoppedAt{};
   RuntimeCounters mCounters;
 
   Impl(const Settings& aSettings, PlatformAdapter aAdapter, Reload aReload)
-    : mSettings(aSettings)
+    : mSettings(WithDescriptors(aSettings))
     , mAdapter(std::move(aAdapter))
     , mReload(std::move(aReload))
     , mState(NodeState::Make(IdentityOf(aSettings, mAdapter), Now()))
@@ -116,6 +153,7 @@
     , mSignals(mLoop, SIGTERM, SIGINT, SIGHUP)
     , mTickTimer(mLoop)
     , mSweepTimer(mLoop)
+    , mBudget(ByteBudget::Make(BudgetOfMachine(aSettings.mMemoryMb)))
   {
   }
 
@@ -220,6 +258,33 @@
             "messages=" + std::to_string(dropped - mLoggedDrops));
       mLoggedDrops = dropped;
     }
+    LogLimitedCallers();
+  }
+
+  /** Logs what limits did to callers since the last line. */
+  void LogLimitedCallers()
+  {
+    const HttpServerCounters& now = mCallers->Counters();
+    const HttpServerCounters& last = mLoggedCallers;
+    if (Now() - mCallersLoggedAt < kLimitLogInterval || !HaveActed(last, now)) {
+      return;
+    }
+    auto add = [](const char* aName, std::uint64_t aFrom, std::uint64_t aTo) {
+      return " " + std::string(aName) + "=" + std::to_string(aTo - aFrom);
+    };
+    Write(
+      kEventCallersLimited,
+      "held_bytes=" + std::to_string(mBudget->Held()) +
+        " budget_bytes=" + std::to_string(mBudget->Total()) +
+        add("waited", last.mWaited, now.mWaited) +
+        add("refused_no_memory", last.mRefusedForRoom, now.mRefusedForRoom) +
+        add("closed_no_memory", last.mClosedForRoom, now.mClosedForRoom) +
+        add("request_too_slow", last.mTooSlow, now.mTooSlow) +
+        add("read_too_slowly", last.mSlowReaders, now.mSlowReaders) +
+        add(
+          "too_many_connections", last.mOverConnections, now.mOverConnections));
+    mCallersLoggedAt = Now();
+    mLoggedCallers = now;
   }
 
   void ArmSweep()
@@ -322,6 +387,10 @@
   {
     mCounters.mOpenRequests = mCallers->CountOpen();
     mCounters.mCallerConnections = mCallers->CountConnections();
+    mCounters.mBudgetBytes = mBudget->Total();
+    mCounters.mHeldBytes = mBudget->Held();
+    mCounters.mMostHeldBytes = mBudget->MostHeld();
+    mCounters.mCallers = mCallers->Counters();
     mCounters.mTargetConnects = mCallers->Targets().CountConnects();
     mCounters.mIdleTargetConnections = mCallers->Targets().CountKept();
     mCounters.mWrittenLogLines = mLog.WrittenLines();
@@ -345,7 +414,10 @@
       response.mKeepsAlive = false;
       return response;
     };
-    auto server = HttpServer::Make(mLoop, aEndpoint, {}, std::move(hooks));
+    HttpServerLimits limits;
+    limits.mMessage.mBodyBytes = kAdminBodyBytes;
+    limits.mConnections = kAdminConnections;
+    auto server = HttpServer::Make(mLoop, aEndpoint, limits, std::move(hooks));
     if (!server) {
       return tl::make_unexpected(server.error());
     }
@@ -359,13 +431,14 @@
       mAdapter.mOpen(mLoop, mSettings.mPlatform, [this](Event aEvent) {
         Post(std::move(aEvent));
       });
-    auto links =
-      PeerLinks::Make(mLoop,
-                      mSettings.mPeer,
-                      mSettings.mEnvironment,
-                      [this](Envelope aEnvelope) {
-                        Post(PeerMessageReceived{ std::move(aEnvelope) });
-                      });
+    auto links = PeerLinks::Make(
+      mLoop,
+      mSettings.mPeer,
+      mSettings.mEnvironment,
+      [this](Envelope aEnvelope) {
+        Post(PeerMessageReceived{ std::move(aEnvelope) });
+      },
+      mBudget);
     if (!links) {
       return tl::make_unexpected(links.error());
     }
@@ -380,7 +453,7 @@
     };
     hooks.mTimeUntil = [](TimePoint aTime) { return aTime - Now(); };
     auto callers =
-      CallerServer::Make(mLoop, mSettings, mAdapter, std::move(hooks));
+      CallerServer::Make(mLoop, mSettings, mAdapter, std::move(hooks), mBudget);
     if (!callers) {
       return tl::make_unexpected(callers.error());
     }
@@ -403,7 +476,9 @@
             std::to_string(mState.mOptions.mStopWithin / milliseconds(1)) +
             " placement=" + (mSettings.mChoosesLocally ? "alone" : "lease") +
             " core_percent=" + std::to_string(mSettings.mCorePercent) +
-            " max_callers=" + std::to_string(mSettings.mMaxCallers));
+            " max_callers=" + std::to_string(mSettings.mMaxCallers) +
+            " max_fds=" + std::to_string(mSettings.mMaxFds) +
+            " budget_bytes=" + std::to_string(mBudget->Total()));
     ArmSignals();
     ArmSweep();
     Post(Tick{});
--- a/src/PeerLinks.cpp
+++ b/src/PeerLinks.cpp
@@ -52,15 +52,18 @@
 /** One large message on its own connection. */
 struct Transfer
 {
-  explicit Transfer(boost::asio::io_context& aLoop)
+  explicit Transfer(boost::asio::io_context& aLoop,
+                    std::shared_ptr<ByteBudget> aBudget = nullptr)
     : mSocket(aLoop)
     , mTimer(aLoop)
+    , mCharge(std::move(aBudget))
   {
   }
 
   tcp::socket mSocket;
   boost::asio::steady_timer mTimer;
   std::string mBytes;
+  BudgetCharge mCharge;
 };
 
 /** Closes a transfer's connection when its time is up. */
@@ -83,11 +86,13 @@
   Impl(boost::asio::io_context& aLoop,
        std::string aCluster,
        NodeId aSelf,
-       Receiver aReceiver)
+       Receiver aReceiver,
+       std::shared_ptr<ByteBudget> aBudget)
     : mLoop(aLoop)
     , mCluster(std::move(aCluster))
     , mSelf(std::move(aSelf))
     , mReceiver(std::move(aReceiver))
+    , mBudget(std::move(aBudget))
     , mDatagrams(aLoop)
     , mAcceptor(aLoop)
   {
@@ -161,7 +166,7 @@
 
   void Accept()
   {
-    auto transfer = std::make_shared<Transfer>(mLoop);
+    auto transfer = std::make_shared<Transfer>(mLoop, mBudget);
     mAcceptor.async_accept(
       transfer->mSocket,
       [self = shared_from_this(), transfer](const error_code& aError) {
@@ -181,18 +186,24 @@
     ++mIncoming;
     BoundTransfer(aTransfer);
     aTransfer->mBytes.resize(kLengthBytes);
-    boost::asio::async_read(aTransfer->mSocket,
-                            boost::asio::buffer(aTransfer->mBytes),
-                            [self = shared_from_this(),
-                             aTransfer](const error_code& aError, std::size_t) {
-                              std::size_t length =
-                                aError ? 0 : ReadLength(aTransfer->mBytes);
-                              if (length == 0 || length > kLargestMessage) {
-                                self->EndIncoming(aTransfer);
-                                return;
-                              }
-                              self->ReadBody(aTransfer, length);
-                            });
+    boost::asio::async_read(
+      aTransfer->mSocket,
+      boost::asio::buffer(aTransfer->mBytes),
+      [self = shared_from_this(), aTransfer](const error_code& aError,
+                                             std::size_t) {
+        std::size_t length = aError ? 0 : ReadLength(aTransfer->mBytes);
+        if (length == 0 || length > kLargestMessage) {
+          self->EndIncoming(aTransfer);
+          return;
+        }
+        if (self->mBudget && !self->mBudget->MayTake(length, 0)) {
+          ++self->mCounters.mDropped;
+          self->EndIncoming(aTransfer);
+          return;
+        }
+        aTransfer->mCharge.Set(length);
+        self->ReadBody(aTransfer, length);
+      });
   }
 
   void ReadBody(const std::shared_ptr<Transfer>& aTransfer, std::size_t aLength)
@@ -297,6 +308,7 @@
   std::string mCluster;
   NodeId mSelf;
   Receiver mReceiver;
+  std::shared_ptr<ByteBudget> mBudget;
   udp::socket mDatagrams;
   tcp::acceptor mAcceptor;
   std::array<char, 64UL * 1024> mBuffer{};
@@ -321,11 +333,12 @@
 PeerLinks::Make(boost::asio::io_context& aLoop,
                 const Endpoint& aEndpoint,
                 const std::string& aCluster,
-                Receiver aReceiver)
+                Receiver aReceiver,
+                std::shared_ptr<ByteBudget> aBudget)
 {
   std::string address = aEndpoint.mHost + ":" + std::to_string(aEndpoint.mPort);
   auto impl = std::make_shared<Impl>(
-    aLoop, aCluster, NodeId(address), std::move(aReceiver));
+    aLoop, aCluster, NodeId(address), std::move(aReceiver), std::move(aBudget));
   try {
     impl->Listen(aEndpoint);
   } catch (const std::exception& e) {
--- a/src/PeerLinks.h
+++ b/src/PeerLinks.h
@@ -1,6 +1,7 @@
 #ifndef VANILLASCALE_PEERLINKS_H
 #define VANILLASCALE_PEERLINKS_H
 
+#include "ByteBudget.h"
 #include "Codec.h"
 #include "Settings.h"
 
@@ -46,12 +47,14 @@
   using Receiver = std::function<void(Envelope)>;
 
   /** Listens at aEndpoint and calls aReceiver for each message of the cluster.
-   * The error says why it can't listen. */
+   * aBudget counts large messages while they are received; those for which it
+   * has no room are dropped. The error says why it can't listen. */
   static tl::expected<std::unique_ptr<PeerLinks>, std::string> Make(
     boost::asio::io_context& aLoop,
     const Endpoint& aEndpoint,
     const std::string& aCluster,
-    Receiver aReceiver);
+    Receiver aReceiver,
+    std::shared_ptr<ByteBudget> aBudget = nullptr);
 
   ~PeerLinks();
   PeerLinks(const PeerLinks&) = delete;
--- a/src/ProxyVerdicts.h
+++ b/src/ProxyVerdicts.h
@@ -20,6 +20,7 @@
 constexpr const char* kReasonBodyTooLarge = "body-too-large";
 constexpr const char* kReasonHeadTooLarge = "head-too-large";
 constexpr const char* kReasonRequestTooSlow = "request-too-slow";
+constexpr const char* kReasonNoMemory = "no-memory";
 constexpr const char* kReasonMalformedRequest = "malformed-request";
 constexpr const char* kReasonOverload = "overload";
 constexpr const char* kReasonDeadlinePassed = "deadline-passed";
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -38,6 +38,19 @@
 /** Bounds of the setting max-callers, in connections. */
 constexpr unsigned long kMinCallers = 4;
 constexpr unsigned long kMaxCallers = 4096;
+/** Bounds of the setting memory-mb: the state of a node takes up to 32 MB, and
+ * the program 12 MB. */
+constexpr unsigned long kMinMemoryMb = 64;
+constexpr unsigned long kMaxMemoryMb = 1024UL * 1024;
+constexpr unsigned long kMinFds = 64;
+constexpr unsigned long kMaxFds = 1024UL * 1024;
+/** Upper bound of the lowest rates: a quarter of 1 Mbit/s, the slowest links of
+ * callers, which may pause besides. */
+constexpr unsigned long kMaxLowestRate = 31250;
+/** Bounds of the setting stall-ms: callers may pause for 2 s. */
+constexpr unsigned long kMinStallMs = 4000;
+constexpr unsigned long kMaxStallMs = 600000;
+constexpr unsigned long kMaxMemoryWaitMs = 60000;
 /** Upper bound of the setting stop-within-ms. */
 constexpr unsigned long kMaxStopMs = 600000;
 
@@ -192,16 +205,36 @@
   return isInRange;
 }
 
-/** Stores a duration in milliseconds. */
-bool
-SetStopTimeout(Settings& aSettings, const std::string& aText)
+/** Returns a setter that accepts durations in milliseconds. */
+Setter
+MillisecondsSetter(Duration Settings::*aMember,
+                   unsigned long aMin,
+                   unsigned long aMax)
 {
-  auto ms = ParseNumber(aText);
-  if (!ms || *ms > kMaxStopMs) {
-    return false;
-  }
-  aSettings.mStopWithin = std::chrono::milliseconds(*ms);
-  return true;
+  return [=](Settings& aSettings, const std::string& aText) {
+    auto ms = ParseNumber(aText);
+    bool isInRange = ms && *ms >= aMin && *ms <= aMax;
+    if (isInRange) {
+      aSettings.*aMember = std::chrono::milliseconds(*ms);
+    }
+    return isInRange;
+  };
+}
+
+/** Returns a setter that accepts 0, which leaves the number to the process, and
+ * numbers from aMin to aMax. */
+Setter
+OptionalNumberSetter(unsigned Settings::*aMember,
+                     unsigned long aMin,
+                     unsigned long aMax)
+{
+  return [=](Settings& aSettings, const std::string& aText) {
+    if (aText == "0") {
+      aSettings.*aMember = 0;
+      return true;
+    }
+    return NumberSetter(aMember, aMin, aMax)(aSettings, aText);
+  };
 }
 
 constexpr const char* kAddressFormat =
@@ -262,6 +295,50 @@
   };
 }
 
+/** Returns the settings of the machine and of how slow callers may be. */
+std::vector<SettingDefinition>
+ResourceSettings()
+{
+  return {
+    { "memory-mb",
+      "0",
+      "the memory of the machine, in MB of 10^6 bytes; 60% of it may be held "
+      "for callers, targets and peers. 0: not known, 260 is assumed",
+      "0 or a number from 64 to 1048576",
+      OptionalNumberSetter(&Settings::mMemoryMb, kMinMemoryMb, kMaxMemoryMb) },
+    { "max-fds",
+      "0",
+      "the descriptors that the process may have; a quarter, and no less than "
+      "256 of more than 512, is not for callers. 0: the limit that the process "
+      "was started with",
+      "0 or a number from 64 to 1048576",
+      OptionalNumberSetter(&Settings::mMaxFds, kMinFds, kMaxFds) },
+    { "min-receive-rate",
+      "4096",
+      "the lowest average rate of a request's body, in bytes per second",
+      "a number from 0 to 31250",
+      NumberSetter(&Settings::mMinReceiveRate, 0, kMaxLowestRate) },
+    { "min-send-rate",
+      "4096",
+      "the lowest average rate at which a caller reads an answer, in bytes per "
+      "second",
+      "a number from 0 to 31250",
+      NumberSetter(&Settings::mMinSendRate, 0, kMaxLowestRate) },
+    { "stall-ms",
+      "20000",
+      "the longest time in which less than 16 KiB of a body come or less than "
+      "16 KiB of an answer are read",
+      "a number from 4000 to 600000",
+      MillisecondsSetter(&Settings::mStallTime, kMinStallMs, kMaxStallMs) },
+    { "memory-wait-ms",
+      "5000",
+      "the longest time for which a request waits for memory before it is "
+      "refused",
+      "a number from 0 to 60000",
+      MillisecondsSetter(&Settings::mMemoryWait, 0, kMaxMemoryWaitMs) },
+  };
+}
+
 /** Returns the settings of the process and its limits. */
 std::vector<SettingDefinition>
 ProcessSettings()
@@ -272,7 +349,7 @@
       "the time from SIGTERM until the process must have exited; 0 if "
       "nothing terminates it",
       "a number from 0 to 600000",
-      SetStopTimeout },
+      MillisecondsSetter(&Settings::mStopWithin, 0, kMaxStopMs) },
     { "first-start",
       "false",
       "whether the whole fleet is started for the first time, before there are "
@@ -323,6 +400,8 @@
     std::vector<SettingDefinition> processSettings = ProcessSettings();
     definitions.insert(
       definitions.end(), processSettings.begin(), processSettings.end());
+    std::vector<SettingDefinition> resources = ResourceSettings();
+    definitions.insert(definitions.end(), resources.begin(), resources.end());
     return definitions;
   }();
   return sDefinitions;
--- a/src/Settings.h
+++ b/src/Settings.h
@@ -64,6 +64,19 @@
   std::size_t mMaxBodyBytes = 0;
   /** The maximum number of open caller connections. */
   unsigned mMaxCallers = 0;
+  /** The memory of the machine, in MB (10^6 bytes); 0 if it is not known. */
+  unsigned mMemoryMb = 0;
+  /** The descriptors that the process may have; 0 for the limit that it was
+   * started with. */
+  unsigned mMaxFds = 0;
+  /** The lowest average rates of a body from and an answer to a caller, in
+   * bytes per second. */
+  std::size_t mMinReceiveRate = 0;
+  std::size_t mMinSendRate = 0;
+  /** The longest time without progress of a body or an answer. */
+  Duration mStallTime{ 0 };
+  /** The longest time for which a request waits for memory. */
+  Duration mMemoryWait{ 0 };
   /** Whether the whole fleet is started for the first time, before there are
    * any callers. */
   bool mIsFirstStart = false;
--- a/src/TargetClient.cpp
+++ b/src/TargetClient.cpp
@@ -56,18 +56,22 @@
 } // namespace
 
 TargetClient::TargetClient(boost::asio::io_context& aLoop,
-                           const TargetDialect& aDialect)
+                           const TargetDialect& aDialect,
+                           std::shared_ptr<ByteBudget> aMemory)
   : mLoop(aLoop)
   , mDialect(aDialect)
   , mByteBudget(std::make_shared<std::size_t>(kMaxReceivedBytes))
+  , mMemory(std::move(aMemory))
 {
 }
 
 std::unique_ptr<TargetClient>
 TargetClient::Make(boost::asio::io_context& aLoop,
-                   const TargetDialect& aDialect)
+                   const TargetDialect& aDialect,
+                   std::shared_ptr<ByteBudget> aMemory)
 {
-  return std::unique_ptr<TargetClient>(new TargetClient(aLoop, aDialect));
+  return std::unique_ptr<TargetClient>(
+    new TargetClient(aLoop, aDialect, std::move(aMemory)));
 }
 
 ReusableSocket
@@ -94,12 +98,17 @@
   auto endpoint = ParseEndpoint(AddressOf(aSend.mTarget));
   ExchangeRequest request;
   request.mTo = endpoint.value_or(Endpoint{ "0.0.0.0", 1 });
-  request.mBytes = Serialize(aSend.mMessage);
+  request.mBytes = SerializeHead(aSend.mMessage);
+  request.mBody = aSend.mMessage.mSharedBody;
+  if (!request.mBody) {
+    request.mBytes += aSend.mMessage.mBody;
+  }
   request.mIsToHead = aSend.mMessage.mMethod == "HEAD";
   request.mConnectTimeout = std::min(kConnectTimeout, aSend.mTimeout);
   request.mTimeout = aSend.mTimeout;
   request.mLimits.mBodyBytes = kMaxAnswerBytes;
   request.mByteBudget = mByteBudget;
+  request.mMemory = mMemory;
   request.mAccepts =
     [this, name = aSend.mRequestName](const HttpResponse& aResponse) {
       return IsAnswerTo(mDialect, name, aResponse);
--- a/src/TargetClient.h
+++ b/src/TargetClient.h
@@ -31,9 +31,12 @@
 public:
   using Callback = std::function<void(TargetResult)>;
 
-  /** Neither argument is copied; both must outlive the client. */
-  static std::unique_ptr<TargetClient> Make(boost::asio::io_context& aLoop,
-                                            const TargetDialect& aDialect);
+  /** aLoop and aDialect must outlive the client. aMemory counts the answers;
+   * null counts none. */
+  static std::unique_ptr<TargetClient> Make(
+    boost::asio::io_context& aLoop,
+    const TargetDialect& aDialect,
+    std::shared_ptr<ByteBudget> aMemory = nullptr);
 
   /** Sends a request, once. aCallback is called once, never from within. */
   void Send(const TargetSend& aSend, Callback aCallback);
@@ -54,7 +57,9 @@
     std::chrono::steady_clock::time_point mSince;
   };
 
-  TargetClient(boost::asio::io_context& aLoop, const TargetDialect& aDialect);
+  TargetClient(boost::asio::io_context& aLoop,
+               const TargetDialect& aDialect,
+               std::shared_ptr<ByteBudget> aMemory);
   ReusableSocket Take(const TargetId& aTarget);
   void Finish(const TargetId& aTarget,
               RequestId aRequest,
@@ -66,6 +71,7 @@
   const TargetDialect& mDialect;
   /** The bytes that the running exchanges may still receive together. */
   std::shared_ptr<std::size_t> mByteBudget;
+  std::shared_ptr<ByteBudget> mMemory;
   std::unordered_map<RequestId, std::shared_ptr<HttpExchange>> mRunning;
   std::unordered_map<TargetId, std::list<Kept>> mKept;
   std::uint64_t mConnects = 0;
