Let callers pause while they read an answer

With the send buffer that bounds what the kernel holds, an answer of 8 MiB read at 300 kB a second in bursts was cut off after 4.0 MB: the kernel takes a reader without room for a dead peer after 4 s. For callers, this time is the setting stall-ms now.

--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -37,7 +37,8 @@
 void
 HttpConnection::Begin()
 {
-  TuneSocket(mSocket);
+  // The kernel counts a caller that does not read as one that does not answer.
+  TuneSocket(mSocket, mState->mLimits.mSending.mStallTime);
   error_code ec;
   mSocket.non_blocking(true, ec);
   mLastUsedAt = SteadyNow();
--- a/src/HttpExchange.cpp
+++ b/src/HttpExchange.cpp
@@ -16,8 +16,6 @@
 using boost::system::error_code;
 
 constexpr std::size_t kReadBytes = 16UL * 1024;
-/** Some round trips between distant zones; a kernel's default is minutes. */
-constexpr unsigned kUnansweredDataMs = 4000;
 /** The kernel's buffer for an answer that is not read for lack of memory: 40 MB
  * a second at the 3 ms between zones. */
 constexpr int kReceiveBufferBytes = 128 * 1024;
@@ -352,13 +350,14 @@
 }
 
 void
-TuneSocket(boost::asio::ip::tcp::socket& aSocket)
+TuneSocket(boost::asio::ip::tcp::socket& aSocket, Duration aUnanswered)
 {
+  auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(aUnanswered);
   error_code ec;
   aSocket.set_option(tcp::no_delay(true), ec);
   aSocket.set_option(
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(
-      kUnansweredDataMs),
+      static_cast<int>(ms.count())),
     ec);
 }
 
--- a/src/HttpExchange.h
+++ b/src/HttpExchange.h
@@ -90,10 +90,14 @@
 bool
 IsFitForReuse(boost::asio::ip::tcp::socket& aSocket);
 
+/** Some round trips between distant zones; a kernel's default is minutes. */
+constexpr Duration kUnansweredTime = std::chrono::seconds(4);
+
 /** Bounds how long the kernel goes on sending to a peer that no longer answers,
- * and turns off the delay of small writes. */
+ * or that has no room for more, and turns off the delay of small writes. */
 void
-TuneSocket(boost::asio::ip::tcp::socket& aSocket);
+TuneSocket(boost::asio::ip::tcp::socket& aSocket,
+           Duration aUnanswered = kUnansweredTime);
 
 /** The loop's own address type for an endpoint. */
 boost::asio::ip::tcp::endpoint
--- a/test/correctness/SettingsAreChecked.cpp
+++ b/test/correctness/SettingsAreChecked.cpp
@@ -58,6 +58,25 @@
   }
 }
 
+/** Guards against limits that callers within the limits would reach. */
+TEST(SettingsParsing, LimitsOnCallersAreChecked)
+{
+  auto line = ParseSettings({}, ValidVariables());
+  LONGS_EQUAL(0, line->mSettings.mMemoryMb);
+  CHECK(line->mSettings.mStallTime == std::chrono::seconds(20));
+  CHECK(ParseSettings({ "--memory-mb=160", "--max-fds=4100" }, ValidVariables())
+          .has_value());
+  for (const char* it : { "--memory-mb=63",
+                          "--max-fds=10",
+                          "--min-receive-rate=125000",
+                          "--min-send-rate=125000",
+                          "--stall-ms=2000",
+                          "--memory-wait-ms=-1" }) {
+    auto bad = ParseSettings({ it }, ValidVariables());
+    CHECK_TEXT(!bad && bad.error().size() == 1, it);
+  }
+}
+
 TEST(SettingsParsing, HelpListsRequiredVariables)
 {
   std::string help = SettingsHelp();
