--- a/src/CallerServer.h
+++ b/src/CallerServer.h
@@ -30,12 +30,14 @@
 {
 public:
   /** Listens at the settings' address. aAdapter must outlive the server; the
-   * error says why it can't listen. */
+   * error says why it can't listen. aBudget counts what is held of requests and
+   * answers. */
   static tl::expected<std::unique_ptr<CallerServer>, std::string> Make(
     boost::asio::io_context& aLoop,
     const Settings& aSettings,
     const PlatformAdapter& aAdapter,
-    CallerHooks aHooks);
+    CallerHooks aHooks,
+    std::shared_ptr<ByteBudget> aBudget);
 
   /** Carry out the core's decisions on a request. */
   void Run(const SendToTarget& aEffect);
@@ -58,6 +60,7 @@
   std::size_t CountUnwritten() const { return mServer->CountRequests(); }
   std::size_t CountConnections() const { return mServer->CountConnections(); }
   const TargetClient& Targets() const { return *mTargets; }
+  const HttpServerCounters& Counters() const { return mServer->Counters(); }
 
 private:
   struct OpenRequest
@@ -71,7 +74,8 @@
 
   CallerServer(boost::asio::io_context& aLoop,
                const PlatformAdapter& aAdapter,
-               CallerHooks aHooks);
+               CallerHooks aHooks,
+               const std::shared_ptr<ByteBudget>& aBudget);
   HttpServerHooks ServerHooks();
   /** The name of a send of a request for its target. */
   std::string NameSend(RequestId aId, bool aIsHedge) const;
--- a/src/HttpExchange.h
+++ b/src/HttpExchange.h
@@ -30,8 +30,10 @@
 struct ExchangeRequest
 {
   Endpoint mTo;
-  /** The serialized request. */
+  /** The serialized request, or its head if mBody is set. */
   std::string mBytes;
+  /** Follows mBytes; null for nothing. */
+  std::shared_ptr<const std::string> mBody;
   bool mIsToHead = false;
   Duration mConnectTimeout{ 0 };
   /** From now to the end of the answer. */
@@ -42,6 +44,9 @@
   /** The bytes that all exchanges with this pointer may still receive while
    * they last; null does not bound them together. */
   std::shared_ptr<std::size_t> mByteBudget;
+  /** The budget of the process, which counts the answer. While it has no room,
+   * the exchange reads no further. Null counts nothing. */
+  std::shared_ptr<ByteBudget> mMemory;
   /** Whether an answer belongs to this request; a false one is skipped and the
    * next awaited. Empty accepts all. */
   std::function<bool(const HttpResponse&)> mAccepts;
@@ -85,10 +90,14 @@
 bool
 IsFitForReuse(boost::asio::ip::tcp::socket& aSocket);
 
+/** Some round trips between distant zones; a kernel's default is minutes. */
+constexpr Duration kUnansweredTime = std::chrono::seconds(4);
+
 /** Bounds how long the kernel goes on sending to a peer that no longer answers,
- * and turns off the delay of small writes. */
+ * or that has no room for more, and turns off the delay of small writes. */
 void
-TuneSocket(boost::asio::ip::tcp::socket& aSocket);
+TuneSocket(boost::asio::ip::tcp::socket& aSocket,
+           Duration aUnanswered = kUnansweredTime);
 
 /** The loop's own address type for an endpoint. */
 boost::asio::ip::tcp::endpoint
