Count a failed request once while requests are concentrated

Runs that explore gray targets fail and are repeated. Counted as requests that were not served they kept the failure rate above the threshold at which every target is explored, so that concentration had little effect.

--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -34,10 +34,7 @@
   LogOffset mTargetListEnd = 0;
   bool mIsLong = false;
   bool mIsIdempotent = true;
-  /** The request probes a target outside of the warm set. Its failure does not
-   * count as a request that was not served, since it is repeated: else the
-   * probes of gray targets keep the failure rate high, which causes probes. */
-  bool mIsProbe = false;
+  bool mIsRetry = false;
   std::uint8_t mPriority = 1;
   /** The slot time that was charged to its priority at the grant. */
   Duration mChargedTime{ 0 };
--- a/src/SchedulerAdmission.cpp
+++ b/src/SchedulerAdmission.cpp
@@ -150,10 +150,11 @@
        Effects& aEffects)
 {
   ++aState.mCounters.mRefusals[static_cast<std::size_t>(aReason)];
-  bool isLostRetry =
-    aReason == RefusalReason::RetryBudget && aState.mPool.mWarmSet.mIsEnabled;
+  bool isLost = aReason == RefusalReason::RetryBudget ||
+                aReason == RefusalReason::AccountLimit;
   if (aReason == RefusalReason::Overload ||
-      aReason == RefusalReason::NoTarget || isLostRetry) {
+      aReason == RefusalReason::NoTarget ||
+      (isLost && aState.mPool.mWarmSet.mIsEnabled)) {
     CountRecentRequest(aState, aNow, false);
   }
   bool isForQuota = aState.mQuota && aReason == RefusalReason::AccountLimit;
--- a/src/SchedulerEvidence.cpp
+++ b/src/SchedulerEvidence.cpp
@@ -204,6 +204,20 @@
   }
 }
 
+/** Returns whether a request counts as not served if the run under a lease
+ * fails. While requests are concentrated, a first run that may be repeated does
+ * not count unless its deadline has passed: its retry does. Otherwise the runs
+ * that explore gray targets would keep the failure rate high, which asks for
+ * more of them. */
+bool
+EndsRequest(const SchedulerState& aState,
+            const ActiveLease& aLease,
+            TargetOutcome aOutcome)
+{
+  return !aState.mPool.mWarmSet.mIsEnabled || !aLease.mIsIdempotent ||
+         aLease.mIsRetry || aOutcome == TargetOutcome::TimedOut;
+}
+
 } // namespace
 
 void
@@ -266,7 +280,9 @@
                     aReport.mOutcome == TargetOutcome::Broken ||
                     aReport.mOutcome == TargetOutcome::TimedOut;
   bool isOfRequest = IsOutcomeOfRequest(aLease, aReport.mOutcome);
-  if (isOfRequest && (isServed || (isUnserved && !aLease.mIsProbe))) {
+  if (isOfRequest &&
+      (isServed ||
+       (isUnserved && EndsRequest(aState, aLease, aReport.mOutcome)))) {
     CountRecentRequest(aState, aNow, isServed);
   }
   if (aReport.mOutcome == TargetOutcome::Answered) {
--- a/src/SchedulerPlacement.cpp
+++ b/src/SchedulerPlacement.cpp
@@ -44,7 +44,7 @@
   ++(request.mIsLong ? target.mBusyLongSlots : target.mBusyShortSlots);
   bool mayProbe =
     request.mIsIdempotent && !request.mIsRetry && !request.mIsLong;
-  bool isProbe = RecordConcentratedGrant(aState.mPool, aNow, target, mayProbe);
+  RecordConcentratedGrant(aState.mPool, target, mayProbe);
   RecordGrant(target, aNow);
   TakeToken(target.mLimit, aNow);
   LeaseId id = (aState.mEpoch << kEpochShift) | ++aState.mLeaseCount;
@@ -57,7 +57,7 @@
   lease.mRoute = request.mRoute;
   lease.mIsLong = request.mIsLong;
   lease.mIsIdempotent = request.mIsIdempotent;
-  lease.mIsProbe = isProbe;
+  lease.mIsRetry = request.mIsRetry;
   lease.mPriority = aKey.mPriority;
   lease.mChargedTime = ExpectedSlotTime(aState);
   lease.mFingerprint = request.mFingerprint;
--- a/src/TargetConcentration.cpp
+++ b/src/TargetConcentration.cpp
@@ -230,28 +230,21 @@
   }
 }
 
-bool
+void
 RecordConcentratedGrant(TargetPool& aPool,
-                        TimePoint aNow,
                         PooledTarget& aTarget,
                         bool aMayProbe)
 {
   WarmSet& warmSet = aPool.mWarmSet;
   if (!warmSet.mIsActive) {
-    return false;
+    return;
   }
-  bool isOutside = aMayProbe && !aTarget.mIsWarm;
-  bool isOverdue =
-    aPool.mHasHighFailureRate &&
-    IsArrivalOverdue(aTarget, aNow, kMaxIdleTimeAtHighFailureRate);
-  bool isProbe = isOutside && (isOverdue || warmSet.mProbeTokens >= 1);
   if (aMayProbe) {
     double tokens =
-      warmSet.mProbeTokens + warmSet.mProbeShare - (isOutside ? 1 : 0);
+      warmSet.mProbeTokens + warmSet.mProbeShare - (aTarget.mIsWarm ? 0 : 1);
     warmSet.mProbeTokens = std::clamp(tokens, kMinProbeTokens, kMaxProbeTokens);
   }
   aTarget.mIsWarm = true;
-  return isProbe;
 }
 
 bool
--- a/src/TargetConcentration.h
+++ b/src/TargetConcentration.h
@@ -34,11 +34,9 @@
 
 /** Records that a slot of a target is granted: an idempotent request adds to
  * the probe budget, and takes from it at a target outside of the warm set. The
- * target joins the warm set. Returns whether the request is a probe. To be
- * called before RecordGrant. */
-bool
+ * target joins the warm set. */
+void
 RecordConcentratedGrant(TargetPool& aPool,
-                        TimePoint aNow,
                         PooledTarget& aTarget,
                         bool aMayProbe);
 
