--- a/test/correctness/ApiKeysAreChecked.cpp
+++ b/test/correctness/ApiKeysAreChecked.cpp
@@ -190,7 +190,7 @@
 }
 
 std::string
-Holder(const ConfigState& aState, const std::string& aKey)
+HolderOf(const ConfigState& aState, const std::string& aKey)
 {
   const ClientAccount* account = FindAccount(aState, aKey);
   return account ? account->mName.mValue : "";
@@ -256,7 +256,7 @@
     return DescribeRequest({}, 1, ParseRequest("/", Authorize(aKey)), {})
       .mApiKey;
   };
-  STRCMP_EQUAL("a", Holder(state, keyOf(longest)).c_str());
+  STRCMP_EQUAL("a", HolderOf(state, keyOf(longest)).c_str());
   STRCMP_EQUAL("", keyOf(longest + "k").c_str());
 }
 
@@ -439,32 +439,32 @@
   const std::string first = R"({ "name": "a", "keys": [ "k1", "k2" ] },
                                { "name": "b", "keys": [ "k3" ] })";
   CHECK(update(first, 1, 10) == DocumentUpdate::InForce);
-  STRCMP_EQUAL("a", Holder(state, "k1").c_str());
-  STRCMP_EQUAL("a", Holder(state, "k2").c_str());
-  STRCMP_EQUAL("b", Holder(state, "k3").c_str());
+  STRCMP_EQUAL("a", HolderOf(state, "k1").c_str());
+  STRCMP_EQUAL("a", HolderOf(state, "k2").c_str());
+  STRCMP_EQUAL("b", HolderOf(state, "k3").c_str());
   // k1 is revoked, k2 moves to an account later in the order, k3 to one before
   // it, and k4 is new.
   CHECK(update(R"({ "name": "a", "keys": [ "k3", "k4" ] },
                   { "name": "b", "keys": [ "k2" ] })",
                2,
                20) == DocumentUpdate::InForce);
-  STRCMP_EQUAL("", Holder(state, "k1").c_str());
-  STRCMP_EQUAL("b", Holder(state, "k2").c_str());
-  STRCMP_EQUAL("a", Holder(state, "k3").c_str());
-  STRCMP_EQUAL("a", Holder(state, "k4").c_str());
+  STRCMP_EQUAL("", HolderOf(state, "k1").c_str());
+  STRCMP_EQUAL("b", HolderOf(state, "k2").c_str());
+  STRCMP_EQUAL("a", HolderOf(state, "k3").c_str());
+  STRCMP_EQUAL("a", HolderOf(state, "k4").c_str());
   // Copies that arrive late: an earlier offset, and an earlier revision.
   CHECK(update(first, 1, 10) == DocumentUpdate::NotNewer);
   CHECK(update(first, 3, 15) == DocumentUpdate::NotNewer);
   CHECK(update(first, 1, 30) == DocumentUpdate::NotNewer);
-  STRCMP_EQUAL("", Holder(state, "k1").c_str());
-  STRCMP_EQUAL("b", Holder(state, "k2").c_str());
+  STRCMP_EQUAL("", HolderOf(state, "k1").c_str());
+  STRCMP_EQUAL("b", HolderOf(state, "k2").c_str());
   // The removed account's key moves to a new account.
   CHECK(update(R"({ "name": "a", "keys": [ "k3" ] },
                   { "name": "c", "keys": [ "k2" ] })",
                3,
                40) == DocumentUpdate::InForce);
-  STRCMP_EQUAL("c", Holder(state, "k2").c_str());
-  STRCMP_EQUAL("", Holder(state, "k4").c_str());
+  STRCMP_EQUAL("c", HolderOf(state, "k2").c_str());
+  STRCMP_EQUAL("", HolderOf(state, "k4").c_str());
   CHECK(!FindAccountById(state, AccountIdOf(AccountName("b"))));
   CHECK(FindAccountById(state, AccountIdOf(AccountName("c"))) != nullptr);
 }
@@ -584,7 +584,7 @@
   for (std::size_t i = 0; i < kAccounts; i += 997) {
     std::string number = std::to_string(i);
     STRCMP_EQUAL(("account-" + number).c_str(),
-                 Holder(state, "key-" + number).c_str());
+                 HolderOf(state, "key-" + number).c_str());
   }
-  STRCMP_EQUAL("", Holder(state, "key-900000").c_str());
+  STRCMP_EQUAL("", HolderOf(state, "key-900000").c_str());
 }
