--- a/test/correctness/MessagesAreDecoded.cpp
+++ b/test/correctness/MessagesAreDecoded.cpp
@@ -54,8 +54,7 @@
            MemberPull{ 13, NodeId("n") },
            MemberPage{ { { NodeId("n"), ZoneName("z"), 3, {} } }, true },
            QuotaReport{ 14, 15, { { 16, 17, 18, 19, 20, -1.5F, true } } },
-           QuotaLevels{ 21,
-                        { { 22, 23, 24, 25, -2.5F, 0.5F, 0.25F, 1.25F } } },
+           QuotaLevels{ 21, { { 22, 23, 24, 25, -2.5F, 0.5F, 0.25F, 1.25F } } },
            HedgeOffer{ 14, 15, 16, TargetId("t:3"), 17 } };
 }
 
