--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -3,6 +3,7 @@
 #include "Duties.h"
 #include "EventNumbers.h"
 #include "NodeFeeds.h"
+#include "NodeShutdown.h"
 #include "ProxyHedges.h"
 #include "SchedulerHedges.h"
 
@@ -22,56 +23,11 @@
 /** A scheduler that has been idle for longer is removed if another node owns
  * its duty. */
 constexpr Duration kSchedulerIdleTimeout = seconds(5);
-/** Minimum time between the shutdown request and the exit. Long enough for the
- * fleet to learn that the node is leaving, and for a load balancer that checks
- * once per second to see two failed checks. */
-constexpr Duration kMinShutdownTime = milliseconds(2300);
-/** Maximum duration of a shutdown if NodeOptions::mStopWithin is 0. */
-constexpr Duration kDefaultMaxShutdownTime = std::chrono::minutes(10);
-
-/** Requests that still run are answered this long before the process is
- * terminated: the runtime closes the connections half a second before that. */
-constexpr Duration kFinalAnswerMargin = milliseconds(800);
-/** A request that arrives later in a shutdown is accepted only if its deadline
- * ends in time. */
-constexpr Duration kMaxOpenAdmission = milliseconds(2500);
-
 /** Share of the retry burst that a new scheduler may grant at once. It is
  * limited because a service's scheduler moves several times within a few
  * seconds when VMs are replaced. */
 constexpr double kInitialRetryTokenShare = 1.0 / 3;
 
-/** Returns the time by which every request has to be answered, or
- * TimePoint::max() if nothing terminates the process. */
-TimePoint
-MustEndBy(const NodeState& aState)
-{
-  Duration stopWithin = aState.mOptions.mStopWithin;
-  bool isLimited = aState.mIsStopping && stopWithin > Duration(0);
-  return isLimited ? aState.mStoppingSince + stopWithin - kFinalAnswerMargin
-                   : TimePoint::max();
-}
-
-/** Returns which new requests are accepted. Callers use the connections that
- * they have until these are closed, so requests keep arriving during a
- * shutdown. Most need a small part of their deadlines and are accepted early in
- * the shutdown whatever these are; later only if they fit. */
-ShutdownAdmission
-AdmissionDuringShutdown(const NodeState& aState, TimePoint aNow)
-{
-  Duration stopWithin = aState.mOptions.mStopWithin;
-  if (!aState.mIsStopping || stopWithin == Duration(0)) {
-    return ShutdownAdmission::All;
-  }
-  Duration elapsed = aNow - aState.mStoppingSince;
-  if (elapsed >= stopWithin / 2) {
-    return ShutdownAdmission::None;
-  }
-  return elapsed >= std::min<Duration>(stopWithin / 3, kMaxOpenAdmission)
-           ? ShutdownAdmission::IfDeadlineFits
-           : ShutdownAdmission::All;
-}
-
 ProxyContext
 MakeProxyContext(NodeState& aState, TimePoint aNow, Effects& aEffects)
 {
@@ -390,27 +346,6 @@
   }
 }
 
-/** Requests the exit of the process once no requests are left and the minimum
- * shutdown time has passed, or when the maximum is reached. */
-void
-FinishShutdown(NodeState& aState, TimePoint aNow, Effects& aEffects)
-{
-  if (!aState.mIsStopping || aState.mIsStopped) {
-    return;
-  }
-  Duration elapsed = aNow - aState.mStoppingSince;
-  bool isDone = aState.mProxy.mRequests.empty() &&
-                aState.mProxy.mAbandonedIntents.empty() &&
-                elapsed >= kMinShutdownTime;
-  Duration maxTime = aState.mOptions.mStopWithin > Duration(0)
-                       ? aState.mOptions.mStopWithin
-                       : kDefaultMaxShutdownTime;
-  if (isDone || elapsed >= maxTime) {
-    aState.mIsStopped = true;
-    aEffects.push_back(Stop{});
-  }
-}
-
 /** Dispatches an event to the component that handles its type. */
 struct EventHandler
 {
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -3,10 +3,9 @@
 #include "Duties.h"
 #include "EventNumbers.h"
 #include "Hash.h"
-#include "NodeQuota.h"
-#include "ProxyCompletion.h"
 #include "ProxyHedges.h"
 #include "ProxyLog.h"
+#include "ProxyQuota.h"
 #include "ProxyVerdicts.h"
 
 #include <algorithm>
@@ -177,50 +176,6 @@
   Refused
 };
 
-/** Takes a token of the quota of a request's account before it is sent without
- * a scheduler. Takes none for a retry, nor for a request that a scheduler is
- * known to have admitted. */
-QuotaDecision
-TakeLocalQuota(const ProxyContext& aContext, ProxyRequest& aRequest)
-{
-  if (!aContext.mQuota || aRequest.mIsRetry || aRequest.mIsQueued) {
-    return QuotaDecision::Taken;
-  }
-  PrepareQuota(
-    *aContext.mQuota, aContext.mNow, aContext.mConfig, aRequest.mAccount);
-  // In fallback, every node may be a spender, so that each has a part of what
-  // may be taken before the owner answers.
-  QuotaDecision decision = TakeQuotaToken(*aContext.mQuota,
-                                          aContext.mNow,
-                                          aRequest.mAccount,
-                                          aContext.mQuota->mEqualShare);
-  if (decision == QuotaDecision::Unknown && !aRequest.mHasClaimedQuota) {
-    aRequest.mHasClaimedQuota = true;
-    ClaimQuotaToken(*aContext.mQuota, aContext.mNow, aRequest.mAccount);
-  }
-  return decision;
-}
-
-/** Refuses a request because of its account's quota. */
-void
-RefuseForQuota(ProxyState& aState,
-               const ProxyContext& aContext,
-               ProxyRequest& aRequest)
-{
-  aContext.mEffects.push_back(WriteEvent{
-    kEventSlotRefused,
-    "request=" + aRequest.mName + " service=" + aRequest.mService.mValue +
-      " reason=account-limit scheduler=none" +
-      DescribeQuota(*aContext.mQuota, aRequest.mAccount) });
-  Duration retryAfter =
-    TimeUntilQuotaToken(*aContext.mQuota, aContext.mNow, aRequest.mAccount);
-  WithdrawLeaseRequest(aContext, aRequest);
-  FinishUnserved(aState,
-                 aContext,
-                 aRequest,
-                 MakeRefusalVerdict(RefusalReason::AccountLimit, retryAfter));
-}
-
 /** Sends a request to a locally chosen target, if its account has a token. */
 LocalSend
 TrySendLocally(ProxyState& aState,
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -1,7 +1,6 @@
 #include "Settings.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <boost/program_options.hpp>
 #include <charconv>
 #include <cmath>
@@ -514,25 +513,6 @@
 
 } // namespace
 
-tl::expected<Endpoint, std::string>
-ParseEndpoint(const std::string& aText)
-{
-  std::size_t colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    return tl::make_unexpected("has no port");
-  }
-  Endpoint endpoint;
-  endpoint.mHost = aText.substr(0, colon);
-  in_addr address{};
-  auto port = ParseNumber(aText.substr(colon + 1));
-  bool isAddress = inet_pton(AF_INET, endpoint.mHost.c_str(), &address) == 1;
-  if (!isAddress || !port || *port == 0 || *port > UINT16_MAX) {
-    return tl::make_unexpected("is not an IPv4 address and port");
-  }
-  endpoint.mPort = static_cast<std::uint16_t>(*port);
-  return endpoint;
-}
-
 tl::expected<CommandLine, std::vector<SettingFault>>
 ParseSettings(const std::vector<std::string>& aArguments,
               const std::map<std::string, std::string>& aEnvironment)
