--- a/test/support/ConcentrationRun.h
+++ b/test/support/ConcentrationRun.h
@@ -207,9 +207,12 @@
     for (std::size_t i = 0; i < order.size(); ++i) {
       order[i] = i;
     }
-    std::sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) {
-      return mTargets[a].mLastArrival > mTargets[b].mLastArrival;
-    });
+    std::sort(order.begin(),
+              order.end(),
+              [this](std::size_t aLeft, std::size_t aRight) {
+                return mTargets[aLeft].mLastArrival >
+                       mTargets[aRight].mLastArrival;
+              });
     for (std::size_t i = 0; i < 40 && i < order.size(); i += 2) {
       mTargets[order[i]].mIsLost = true;
     }
--- a/test/support/QuotaFleet.h
+++ b/test/support/QuotaFleet.h
@@ -58,11 +58,20 @@
     for (std::size_t i = 0; i < mServices; ++i) {
       std::string name = "s" + std::to_string(i);
       std::string comma = i > 0 ? "," : "";
-      services += comma + R"({"name":")" + name + R"(","vmGroup":")" + name +
-                  R"(","floorPercent":60})";
-      routes += comma + R"({"name":")" + name + R"(","service":")" + name +
-                R"(","method":"GET","path":"/)" + name +
-                R"(","priority":1,"deadlineMs":2000})";
+      services.append(comma)
+        .append(R"({"name":")")
+        .append(name)
+        .append(R"(","vmGroup":")")
+        .append(name)
+        .append(R"(","floorPercent":60})");
+      routes.append(comma)
+        .append(R"({"name":")")
+        .append(name)
+        .append(R"(","service":")")
+        .append(name)
+        .append(R"(","method":"GET","path":"/)")
+        .append(name)
+        .append(R"(","priority":1,"deadlineMs":2000})");
     }
     std::string document = R"({"environment":"test","services":[)" + services +
                            R"(],"routes":[)" + routes +
