--- a/src/CallerProgress.cpp
+++ b/src/CallerProgress.cpp
@@ -9,7 +9,7 @@
 using std::chrono::duration;
 using std::chrono::milliseconds;
 
-/** Takes 0.13 s at 1 Mbit/s; a caller that needs the whole of its patience for
+/** Takes 0.13 s at 1 Mbit/s. A caller that takes the longest allowed time for
  * it moves 5 kB a second. */
 constexpr std::size_t kProgressBytes = 16UL * 1024;
 /** Callers pause for up to 2 s, and a round trip and a packet that is sent
