Log a digest of the configuration that a node has in force

What callers saw: a request handled as only an older configuration allows, while the node's log named the newest revision.

Each copy of a topic now keeps the sum of the hashes of its entries, at the cost of the entries that change, and DocumentRead states it with their number. No decision depends on it. Measured: HaveTheDigestOfTheirContent and the other tests of the feeds pass.

--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -2,6 +2,7 @@
 
 #include "Duties.h"
 #include "EventNumbers.h"
+#include "FeedDigest.h"
 #include "FeedRequests.h"
 #include "FeedTree.h"
 #include "Hash.h"
@@ -106,6 +107,7 @@
   auto it = aState.mEntries.find(aKey);
   if (it != aState.mEntries.end()) {
     RecordRemoval(aState.mOrders, aNow, it->second);
+    aState.mDigest -= EntryDigest(it->second);
     aState.mEntries.erase(it);
     ++aState.mVersion;
     aState.mChangedKeys.push_back(aKey);
@@ -158,6 +160,10 @@
   bool isRestored = aState.mPendingRemovals.erase(aEntry.mKey) > 0;
   bool isNew =
     it == aState.mEntries.end() || it->second.mValue != aEntry.mValue;
+  if (it != aState.mEntries.end()) {
+    aState.mDigest -= EntryDigest(it->second);
+  }
+  aState.mDigest += EntryDigest(aEntry);
   aState.mEntries[aEntry.mKey] = aEntry;
   RecordApplied(aState.mOrders, aEntry.mKey);
   if (isNew) {
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -56,6 +56,8 @@
 {
   FeedSettings mSettings;
   std::map<std::string, FeedEntry> mEntries;
+  /** The sum of the EntryDigest of all entries. */
+  std::uint64_t mDigest = 0;
   /** All records before this offset have been applied. */
   LogOffset mEnd = 0;
   /** The revision of the entries, if the topic has revisions. */
--- a/src/NodeFeeds.cpp
+++ b/src/NodeFeeds.cpp
@@ -180,7 +180,9 @@
     kEventDocumentRead,
     "offset=" + std::to_string(config.mOffset) +
       " revision=" + std::to_string(config.mDocument.mRevision) +
-      " changes=" + std::to_string(changes) + " source=" + source +
+      " changes=" + std::to_string(changes) +
+      " entries=" + std::to_string(aFeed.mEntries.size()) +
+      " digest=" + std::to_string(aFeed.mDigest) + " source=" + source +
       " age_ms=" + std::to_string(ageMs) + " outcome=" + OutcomeName(update) });
 }
 
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -296,6 +296,22 @@
   CHECK(std::get<FeedPush>(reply.mMessage).mAge == seconds(10));
 }
 
+/** Guards against a copy whose content differs from its peers' although it ends
+ * at the same offset: the digests are what tells them apart in the log. */
+TEST(KeyedFeeds, HaveTheDigestOfTheirContent)
+{
+  FeedNode node;
+  FeedNode other;
+  node.Read(kStart, FullRead(2, { { "a", 0, "A" }, { "b", 1, "B" } }));
+  node.Read(kStart, DeltaRead(4, { { "a", 2, "A2" }, { "b", 3, "" } }));
+  other.Read(kStart, FullRead(4, { { "a", 2, "B" } }));
+  CHECK(node.mFeed.mDigest != other.mFeed.mDigest);
+  other.Read(kStart, DeltaRead(5, { { "a", 4, "A2" } }));
+  CHECK(node.mFeed.mDigest == other.mFeed.mDigest);
+  other.Read(kStart, DeltaRead(6, { { "a", 5, "" } }));
+  CHECK_EQUAL(0U, other.mFeed.mDigest);
+}
+
 /** Guards against writes that the store executes seconds late, after later ones
  * of the same writer: a leaving target comes into use again. */
 TEST_GROUP(LateWrites){};
