Add a test of copies that keep routes of earlier revisions, which fails

What callers saw: a request handled as only an older configuration allows after the newer one was confirmed, and once after its effect had been seen.

Two tests, one of a single order of events and one of random orders of reads, pushes, copies, losses and restarts at four nodes, check that a node which states a revision has the content of its record.

--- /dev/null
+++ b/test/correctness/CopiesReplaceEarlierRevisions.cpp
@@ -0,0 +1,308 @@
+#include "../support/Properties.h"
+#include "KeyedFeed.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace vanillascale;
+using std::chrono::milliseconds;
+
+/** Guards against a node that states a revision of the configuration and holds
+ * entries of an earlier one: nodes exchange changes and copies of topics whose
+ * records replace each other, and whatever they are lost, reordered or
+ * repeated, a revision has the content of its record. */
+
+namespace {
+
+constexpr TimePoint kStart = TimePoint(std::chrono::hours(1));
+constexpr const char* kTopic = "documents";
+
+using Content = std::map<std::string, std::string>;
+
+/** One record of the topic. */
+struct Record
+{
+  std::uint64_t mRevision = 0;
+  Content mContent;
+};
+
+FeedSettings
+MakeSettings()
+{
+  FeedSettings settings;
+  settings.mTopic = kTopic;
+  settings.mStaleAfter = milliseconds(1250);
+  settings.mMaxRecentEntries = 8;
+  settings.mHasWholeRecords = true;
+  return settings;
+}
+
+/** Returns what a store with the given records, of which the first has the
+ * offset 0, answers to a read of the newest one. */
+FeedReadResult
+MakeRead(const std::vector<Record>& aRecords)
+{
+  FeedReadResult read;
+  read.mTopic = kTopic;
+  read.mIsSuccessful = true;
+  read.mIsSnapshot = true;
+  read.mEnd = aRecords.size();
+  read.mRevision = aRecords.back().mRevision;
+  for (const auto& [key, value] : aRecords.back().mContent) {
+    read.mEntries.push_back({ key, aRecords.size() - 1, value });
+  }
+  return read;
+}
+
+/** One node with its membership view and its copy of the topic. */
+struct FeedNode
+{
+  NodeId mId;
+  MembershipState mMembers = MembershipState::Make(mId, ZoneName("z"), 1);
+  Random mRandom;
+  KeyedFeedState mFeed = KeyedFeedState::Make(MakeSettings(), kStart);
+
+  explicit FeedNode(const std::string& aId)
+    : mId(aId)
+  {
+  }
+
+  template<typename... Arguments>
+  Effects Receive(TimePoint aNow, const Arguments&... aArguments)
+  {
+    Effects effects;
+    FeedReceive(mFeed, { aNow, mMembers, mRandom, effects }, aArguments...);
+    return effects;
+  }
+
+  Content Entries() const
+  {
+    Content entries;
+    for (const auto& [key, entry] : mFeed.mEntries) {
+      entries[key] = entry.mValue;
+    }
+    return entries;
+  }
+};
+
+FeedPush
+PushOf(const Effects& aEffects)
+{
+  return std::get<FeedPush>(std::get<SendToPeer>(aEffects.back()).mMessage);
+}
+
+/** A message between two nodes, or the answer of the store to one of them. */
+struct Delivery
+{
+  std::size_t mFrom = 0;
+  std::size_t mTo = 0;
+  std::variant<FeedPush, FeedPull, FeedReadResult> mContent;
+};
+
+/** Nodes of one zone, the records of the store and what is under way. */
+class Zone
+{
+public:
+  Zone(std::size_t aNodes, std::uint64_t aSeed)
+    : mRandom(aSeed)
+  {
+    for (std::size_t i = 0; i < aNodes; ++i) {
+      mNodes.push_back(MakeNode(i));
+    }
+    Publish();
+  }
+
+  /** Lets one thing happen, with anything under way in any order. */
+  void Step()
+  {
+    mNow += milliseconds(60);
+    std::size_t node = RandomBelow(mRandom, mNodes.size());
+    switch (RandomBelow(mRandom, 6)) {
+      case 0:
+        Publish();
+        break;
+      case 1:
+        mNodes[node] = MakeNode(node);
+        break;
+      case 2:
+      case 3:
+        mUnderWay.push_back({ node, node, MakeRead(mRecords) });
+        break;
+      case 4:
+        Pull(node);
+        break;
+      default:
+        break;
+    }
+    for (int i = 0; i < 3; ++i) {
+      DeliverAny();
+    }
+  }
+
+  /** Returns the first node whose content isn't that of its revision, or the
+   * number of nodes. */
+  std::size_t FirstWithOtherContent() const
+  {
+    std::size_t i = 0;
+    while (i < mNodes.size() && HasContentOfItsRevision(mNodes[i])) {
+      ++i;
+    }
+    return i;
+  }
+
+  std::size_t Size() const { return mNodes.size(); }
+
+private:
+  FeedNode MakeNode(std::size_t aIndex)
+  {
+    FeedNode node(std::to_string(aIndex));
+    node.mFeed.mStartedAt = mNow;
+    Ping ping;
+    for (std::size_t i = 0; i < kNodes; ++i) {
+      ping.mUpdates.push_back(
+        { NodeId(std::to_string(i)), ZoneName("z"), 1, MemberStatus::Alive });
+    }
+    Effects ignored;
+    MembershipReceive(node.mMembers,
+                      mNow,
+                      NodeId(std::to_string((aIndex + 1) % kNodes)),
+                      ping,
+                      ignored);
+    return node;
+  }
+
+  /** Appends a record that moves, adds or removes some entries. Some values are
+   * so large that a copy takes several pages. */
+  void Publish()
+  {
+    Record record = mRecords.empty() ? Record{} : mRecords.back();
+    record.mRevision += 1 + RandomBelow(mRandom, 3);
+    record.mContent["head"] = std::to_string(record.mRevision);
+    for (std::size_t n = 1 + RandomBelow(mRandom, 2); n > 0; --n) {
+      std::string key = "route/" + std::to_string(RandomBelow(mRandom, 5));
+      if (RandomBelow(mRandom, 4) == 0) {
+        record.mContent.erase(key);
+      } else {
+        record.mContent[key] =
+          std::string(12000, static_cast<char>('a' + RandomBelow(mRandom, 2)));
+      }
+    }
+    mRecords.push_back(std::move(record));
+  }
+
+  void Pull(std::size_t aNode)
+  {
+    FeedPull pull{ kTopic, mNodes[aNode].mFeed.mEnd, true, "" };
+    if (RandomBelow(mRandom, 3) == 0) {
+      pull.mEnd = 0;
+    }
+    mUnderWay.push_back(
+      { aNode, RandomBelow(mRandom, mNodes.size()), std::move(pull) });
+  }
+
+  /** Delivers one message that is under way, loses it, or delivers it and keeps
+   * it for a second delivery. */
+  void DeliverAny()
+  {
+    if (mUnderWay.empty()) {
+      return;
+    }
+    std::size_t i = RandomBelow(mRandom, mUnderWay.size());
+    Delivery delivery = mUnderWay[i];
+    std::uint32_t fate = RandomBelow(mRandom, 10);
+    if (fate != 0) {
+      mUnderWay.erase(mUnderWay.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    if (fate != 1) {
+      std::visit([&](const auto& aContent) { Deliver(delivery, aContent); },
+                 delivery.mContent);
+    }
+  }
+
+  void Deliver(const Delivery& aDelivery, const FeedReadResult& aRead)
+  {
+    Send(aDelivery.mTo, mNodes[aDelivery.mTo].Receive(mNow, aRead));
+  }
+  template<typename PeerMessage>
+  void Deliver(const Delivery& aDelivery, const PeerMessage& aMessage)
+  {
+    Send(aDelivery.mTo,
+         mNodes[aDelivery.mTo].Receive(
+           mNow, mNodes[aDelivery.mFrom].mId, aMessage));
+  }
+
+  void Send(std::size_t aFrom, const Effects& aEffects)
+  {
+    for (const Effect& it : aEffects) {
+      const auto* send = std::get_if<SendToPeer>(&it);
+      if (!send) {
+        continue;
+      }
+      std::size_t to = std::stoul(send->mTo.mValue);
+      if (const auto* push = std::get_if<FeedPush>(&send->mMessage)) {
+        mUnderWay.push_back({ aFrom, to, *push });
+      } else if (const auto* pull = std::get_if<FeedPull>(&send->mMessage)) {
+        mUnderWay.push_back({ aFrom, to, *pull });
+      }
+    }
+  }
+
+  bool HasContentOfItsRevision(const FeedNode& aNode) const
+  {
+    if (!aNode.mFeed.mIsLoaded) {
+      return true;
+    }
+    for (const Record& it : mRecords) {
+      if (it.mRevision == aNode.mFeed.mRevision) {
+        return it.mContent == aNode.Entries();
+      }
+    }
+    return false;
+  }
+
+  static constexpr std::size_t kNodes = 4;
+
+  Random mRandom;
+  TimePoint mNow = kStart;
+  std::vector<FeedNode> mNodes;
+  std::vector<Record> mRecords;
+  std::vector<Delivery> mUnderWay;
+};
+
+} // namespace
+
+TEST_GROUP(Copies){};
+
+/** A route moves in a revision that one of the nodes doesn't read, and back in
+ * the next one. It isn't among the changes that this node knows of, so that its
+ * entry has an earlier offset than that of the other node. */
+TEST(Copies, ReplaceARouteThatMovedAndBack)
+{
+  FeedNode first("first");
+  FeedNode second("second");
+  std::vector<Record> records{ { 1, { { "head", "1" }, { "r", "A" } } } };
+  first.Receive(kStart, MakeRead(records));
+  second.Receive(kStart, MakeRead(records));
+  records.push_back({ 2, { { "head", "2" }, { "r", "B" } } });
+  first.Receive(kStart, MakeRead(records));
+  FeedPush changes{ kTopic, 1, 3, false, Duration(0), { { "head", 2, "3" } } };
+  changes.mRevision = 3;
+  second.Receive(kStart, NodeId("third"), changes);
+  STRCMP_EQUAL("A", second.Entries()["r"].c_str());
+  FeedPush copy =
+    PushOf(second.Receive(kStart, first.mId, FeedPull{ kTopic, 2, true, "" }));
+  CHECK(copy.mIsSnapshot);
+  first.Receive(kStart, second.mId, copy);
+  LONGS_EQUAL(3, first.mFeed.mRevision);
+  STRCMP_EQUAL("A", first.Entries()["r"].c_str());
+}
+
+TEST(Copies, AndChangesGiveEachRevisionItsContent)
+{
+  CHECK(PropertyHolds("revisions have one content", 300, [] {
+    Zone zone(4, *rc::gen::arbitrary<std::uint64_t>());
+    for (int i = 0; i < 400; ++i) {
+      zone.Step();
+      RC_ASSERT(zone.FirstWithOtherContent() == zone.Size());
+    }
+  }));
+}
