Replace the entries of an earlier revision when a copy arrives

What callers saw: a request handled as only an older configuration allows, later than 2.5 s after the newer one was confirmed; once after its effect was seen.

Cause: a record of the configuration replaces all entries, but a node merged a copy from a peer into its own entries by their offsets and kept its own where these were higher. A peer that had gone from 160 to 169 at once has a route that moved in 166 and back in 169 at its earlier offset, since the route is not among the changes. A node at 166 that loaded this copy stated 169 and kept the route of 166 until it changed again, and passed both on. Restarts together and a store that turns nodes away make nodes skip revisions and load copies from each other.

Change: where records replace each other, entries of copies and changes are applied without regard to offsets, and everything a copy lacks is removed.

--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -130,8 +130,11 @@
   }
 }
 
-/** Applies one entry, unless the copy has one that is as new. Returns whether
- * the entry changes the copy. */
+/** Applies one entry. Returns whether it changes the copy. Entries of a topic
+ * that has no whole records are skipped if the copy has one that is as new.
+ * Where records replace each other, offsets tell nothing of that: an entry that
+ * is the same in two records keeps the offset of the first at nodes that
+ * received only what had changed. */
 bool
 ApplyEntry(KeyedFeedState& aState,
            TimePoint aNow,
@@ -142,8 +145,10 @@
   EntryOrder known = it != aState.mEntries.end()
                        ? it->second.mOrder
                        : FindRemovedOrder(aState.mOrders, aEntry.mKey);
-  if (it != aState.mEntries.end() && it->second.mOffset >= aEntry.mOffset &&
-      !IsLater(known, aEntry.mOrder)) {
+  bool isAsNew =
+    it != aState.mEntries.end() && !aState.mSettings.mHasWholeRecords &&
+    it->second.mOffset >= aEntry.mOffset && !IsLater(known, aEntry.mOrder);
+  if (isAsNew) {
     return false;
   }
   if (!aEntry.mValue.empty() &&
@@ -153,9 +158,9 @@
     return false;
   }
   if (aEntry.mValue.empty()) {
-    bool isKnown = it != aState.mEntries.end();
+    bool isRemoved = it != aState.mEntries.end();
     RemoveOrDefer(aState, aNow, aEntry.mKey);
-    return isKnown;
+    return isRemoved;
   }
   bool isRestored = aState.mPendingRemovals.erase(aEntry.mKey) > 0;
   bool isNew =
@@ -190,7 +195,8 @@
 }
 
 /** Applies the entries of a full copy that ends at aEnd, and removes older
- * entries that it does not contain. Returns the changes to the copy. */
+ * entries that it does not contain, or all of these where records replace each
+ * other. Returns the changes to the copy. */
 std::vector<FeedEntry>
 ApplySnapshot(KeyedFeedState& aState,
               TimePoint aNow,
@@ -206,7 +212,8 @@
     ApplyEntries(aState, aNow, aEntries, aSource);
   std::vector<std::string> absent;
   for (const auto& [key, entry] : aState.mEntries) {
-    if (present.count(key) == 0 && entry.mOffset < aEnd) {
+    bool isOlder = aState.mSettings.mHasWholeRecords || entry.mOffset < aEnd;
+    if (isOlder && present.count(key) == 0) {
       absent.push_back(key);
     }
   }
