--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -2,13 +2,12 @@
 
 #include "Duties.h"
 #include "EventNumbers.h"
-#include "FeedDigest.h"
+#include "FeedContent.h"
 #include "FeedRequests.h"
 #include "FeedTree.h"
 #include "Hash.h"
 
 #include <algorithm>
-#include <set>
 
 namespace vanillascale {
 
@@ -100,130 +99,6 @@
   return isReader || age >= aState.mSettings.mStaleAfter + takeoverDelay;
 }
 
-/** Removes an entry at once. */
-void
-RemoveEntry(KeyedFeedState& aState, TimePoint aNow, const std::string& aKey)
-{
-  auto it = aState.mEntries.find(aKey);
-  if (it != aState.mEntries.end()) {
-    RecordRemoval(aState.mOrders, aNow, it->second);
-    aState.mDigest -= EntryDigest(it->second);
-    aState.mEntries.erase(it);
-    ++aState.mVersion;
-    aState.mChangedKeys.push_back(aKey);
-  }
-  aState.mPendingRemovals.erase(aKey);
-}
-
-/** Removes an entry, or defers the removal to the end of the grace period after
- * an outage: the entry may have expired only because its owner could not reach
- * the store. */
-void
-RemoveOrDefer(KeyedFeedState& aState, TimePoint aNow, const std::string& aKey)
-{
-  TimePoint until = aState.mOutageEndedAt + aState.mSettings.mOutageGracePeriod;
-  bool isAfterOutage = aState.mOutageEndedAt != TimePoint{} && aNow < until;
-  if (isAfterOutage && aState.mEntries.count(aKey) > 0) {
-    aState.mPendingRemovals.emplace(aKey, until);
-  } else {
-    RemoveEntry(aState, aNow, aKey);
-  }
-}
-
-/** Applies one entry. Returns whether it changes the copy. Entries of a topic
- * that has no whole records are skipped if the copy has one that is as new.
- * Where records replace each other, offsets tell nothing of that: an entry that
- * is the same in two records keeps the offset of the first at nodes that
- * received only what had changed. */
-bool
-ApplyEntry(KeyedFeedState& aState,
-           TimePoint aNow,
-           const FeedEntry& aEntry,
-           EntrySource aSource)
-{
-  auto it = aState.mEntries.find(aEntry.mKey);
-  EntryOrder known = it != aState.mEntries.end()
-                       ? it->second.mOrder
-                       : FindRemovedOrder(aState.mOrders, aEntry.mKey);
-  bool isAsNew =
-    it != aState.mEntries.end() && !aState.mSettings.mHasWholeRecords &&
-    it->second.mOffset >= aEntry.mOffset && !IsLater(known, aEntry.mOrder);
-  if (isAsNew) {
-    return false;
-  }
-  if (!aEntry.mValue.empty() &&
-      IsOutdated(aState.mOrders, aNow, known, aEntry, aSource)) {
-    ++aState.mOutdatedEntries;
-    aState.mOutdatedKey = aEntry.mKey;
-    return false;
-  }
-  if (aEntry.mValue.empty()) {
-    bool isRemoved = it != aState.mEntries.end();
-    RemoveOrDefer(aState, aNow, aEntry.mKey);
-    return isRemoved;
-  }
-  bool isRestored = aState.mPendingRemovals.erase(aEntry.mKey) > 0;
-  bool isNew =
-    it == aState.mEntries.end() || it->second.mValue != aEntry.mValue;
-  if (it != aState.mEntries.end()) {
-    aState.mDigest -= EntryDigest(it->second);
-  }
-  aState.mDigest += EntryDigest(aEntry);
-  aState.mEntries[aEntry.mKey] = aEntry;
-  RecordApplied(aState.mOrders, aEntry.mKey);
-  if (isNew) {
-    ++aState.mVersion;
-    aState.mChangedKeys.push_back(aEntry.mKey);
-  }
-  return isNew || isRestored;
-}
-
-/** Applies entries in their order and returns those that changed the copy. */
-std::vector<FeedEntry>
-ApplyEntries(KeyedFeedState& aState,
-             TimePoint aNow,
-             const std::vector<FeedEntry>& aEntries,
-             EntrySource aSource)
-{
-  std::vector<FeedEntry> changes;
-  for (const FeedEntry& it : aEntries) {
-    if (ApplyEntry(aState, aNow, it, aSource)) {
-      changes.push_back(it);
-    }
-  }
-  return changes;
-}
-
-/** Applies the entries of a full copy that ends at aEnd, and removes older
- * entries that it does not contain, or all of these where records replace each
- * other. Returns the changes to the copy. */
-std::vector<FeedEntry>
-ApplySnapshot(KeyedFeedState& aState,
-              TimePoint aNow,
-              LogOffset aEnd,
-              const std::vector<FeedEntry>& aEntries,
-              EntrySource aSource)
-{
-  std::set<std::string> present;
-  for (const FeedEntry& it : aEntries) {
-    present.insert(it.mKey);
-  }
-  std::vector<FeedEntry> changes =
-    ApplyEntries(aState, aNow, aEntries, aSource);
-  std::vector<std::string> absent;
-  for (const auto& [key, entry] : aState.mEntries) {
-    bool isOlder = aState.mSettings.mHasWholeRecords || entry.mOffset < aEnd;
-    if (isOlder && present.count(key) == 0) {
-      absent.push_back(key);
-    }
-  }
-  for (const std::string& it : absent) {
-    RemoveOrDefer(aState, aNow, it);
-    changes.push_back({ it, aEnd, "" });
-  }
-  return changes;
-}
-
 /** Adds to the recent changes. */
 void
 AddDelta(KeyedFeedState& aState, FeedDelta aDelta)
@@ -399,15 +274,7 @@
 void
 FeedTick(KeyedFeedState& aState, const FeedContext& aContext)
 {
-  std::vector<std::string> expired;
-  for (const auto& [key, until] : aState.mPendingRemovals) {
-    if (aContext.mNow >= until) {
-      expired.push_back(key);
-    }
-  }
-  for (const std::string& it : expired) {
-    RemoveEntry(aState, aContext.mNow, it);
-  }
+  RemoveExpiredEntries(aState, aContext.mNow);
   ForgetOldOrders(aState.mOrders, aContext.mNow);
   RequestCopyIfNotLoaded(aState, aContext);
   RequestChangesFromOtherZone(aState, aContext);
