Keep the changes of a refused configuration for the next one

What callers would see: a route served as two configurations ago.

Cause: when the feed had changed, the keys of the changed entries were handed to UpdateDocument and forgotten, also if it refused the update. The next update names only what changed since the refused one, so that the document in force kept its old objects under a new revision.

Change: the keys are forgotten when they are in force, and an update is made of what the feed holds then.

Evidence: RefusedDocumentsLoseNoChanges fails before (/moved/a/ at revision 3, which has /moved/b/) and passes now.

--- a/src/NodeFeeds.cpp
+++ b/src/NodeFeeds.cpp
@@ -162,7 +162,10 @@
   return "undecodable";
 }
 
-/** Puts the changed entries of the document feed in force. Logs the outcome. */
+/** Puts the changed entries of the document feed in force. Logs the outcome.
+ * The keys of an update that is refused are kept for the next one, which is
+ * made of what the feed holds then and not of what the refused one has changed.
+ */
 void
 ApplyDocuments(NodeState& aState,
                TimePoint aNow,
@@ -170,9 +173,14 @@
                Effects& aEffects)
 {
   ConfigState& config = aState.mConfig.mConfig;
-  std::size_t changes = aFeed.mChangedKeys.size();
-  DocumentUpdate update = UpdateDocument(
-    config, aFeed.mEntries, std::exchange(aFeed.mChangedKeys, {}));
+  std::vector<std::string>& keys = aFeed.mChangedKeys;
+  std::sort(keys.begin(), keys.end());
+  keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+  std::size_t changes = keys.size();
+  DocumentUpdate update = UpdateDocument(config, aFeed.mEntries, keys);
+  if (update == DocumentUpdate::InForce) {
+    keys.clear();
+  }
   std::string source =
     aFeed.mConfirmedBy.mValue.empty() ? "store" : aFeed.mConfirmedBy.mValue;
   auto ageMs = (aNow - aFeed.mFreshAt) / milliseconds(1);
