Compare the content of copies, and settle differences by the store

A node stated a revision with other entries than that revision's, no node noticed, and the entries were passed on.

Cause, the class: a copy was named by its revision and its end, and merged by other numbers; nothing compared content. A second way into the same state exists: if the store executes an earlier write late, nodes have different revisions at one end, and changes were applied to other entries than those that they were made from. The revision of a push at the same end was even taken over without any entry.

Change: a push states the digest of its sender's content. Changes that do not lead to it are not applied, and a copy is requested. Nodes of earlier builds state no digest and are believed.

--- a/src/DocumentEntries.cpp
+++ b/src/DocumentEntries.cpp
@@ -173,10 +173,11 @@
   Document& document = aState.mDocument;
   LogOffset offset = entry->second.mOffset;
   bool isFirst = document.mEnvironment.empty();
-  bool isNewer = isFirst || (offset > aState.mOffset &&
-                             head->mRevision > document.mRevision &&
-                             head->mEnvironment == document.mEnvironment);
-  if (!isNewer) {
+  bool isOlder =
+    offset < aState.mOffset || head->mRevision < document.mRevision;
+  bool isAccepted =
+    isFirst || (!isOlder && head->mEnvironment == document.mEnvironment);
+  if (!isAccepted) {
     return DocumentUpdate::NotNewer;
   }
   document.mEnvironment = head->mEnvironment;
--- a/src/DocumentEntries.h
+++ b/src/DocumentEntries.h
@@ -22,7 +22,7 @@
 enum class DocumentUpdate
 {
   InForce,
-  /** The revision or the offset is not above the current one, or the document
+  /** The revision or the offset is below the current one, or the document
    * belongs to another environment. Nothing was changed. */
   NotNewer,
   /** An entry cannot be decoded or is missing. Nothing was changed. */
@@ -31,7 +31,8 @@
 
 /** Puts the entries with the keys aChangedKeys in force: adds or replaces the
  * objects whose keys are in aEntries and removes the others. The first document
- * is always accepted.
+ * is always accepted, and so is the revision in force, if its entries have been
+ * corrected.
  *
  * Precondition: aEntries with the keys not in aChangedKeys are in force
  * already. Not thread safe. */
--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -39,6 +39,7 @@
   { kEventDocumentRead, "DocumentRead" },
   { kEventRecordSkipped, "RecordSkipped" },
   { kEventOutdatedEntries, "OutdatedEntries" },
+  { kEventContentDiffers, "ContentDiffers" },
   { kEventSchedulerStarted, "SchedulerStarted" },
   { kEventSchedulerEnded, "SchedulerEnded" },
   { kEventFallbackEntered, "FallbackEntered" },
--- a/src/FeedCopy.cpp
+++ b/src/FeedCopy.cpp
@@ -40,8 +40,10 @@
         const FeedPush& aPage)
 {
   if (aPage.mPageAfter.empty()) {
-    aCopy =
-      FeedCopy{ aFrom, aPage.mEnd, aPage.mRevision, aNow - aPage.mAge, "", {} };
+    aCopy = FeedCopy{
+      aFrom, aPage.mEnd, aPage.mRevision, aPage.mDigest, aNow - aPage.mAge,
+      "",    {}
+    };
   } else if (!aCopy || aCopy->mSource != aFrom ||
              aCopy->mLastKey != aPage.mPageAfter) {
     return false;
--- a/src/FeedCopy.h
+++ b/src/FeedCopy.h
@@ -23,6 +23,8 @@
   NodeId mSource;
   LogOffset mEnd = 0;
   std::uint64_t mRevision = 0;
+  /** The digest that the source has stated; 0 if it has stated none. */
+  std::uint64_t mDigest = 0;
   /** When the source knew its entries to match the store, as of the first page.
    */
   TimePoint mFreshAt{};
--- a/src/FeedRequests.cpp
+++ b/src/FeedRequests.cpp
@@ -28,6 +28,18 @@
   return { aState.mSettings.mTopic, aState.mEnd, true, "" };
 }
 
+FeedPush
+MakePush(const KeyedFeedState& aState, TimePoint aNow)
+{
+  FeedPush push;
+  push.mTopic = aState.mSettings.mTopic;
+  push.mEnd = aState.mEnd;
+  push.mAge = aNow - aState.mFreshAt;
+  push.mRevision = aState.mRevision;
+  push.mDigest = aState.mSettings.mHasWholeRecords ? aState.mDigest : 0;
+  return push;
+}
+
 void
 RequestCopyIfNotLoaded(KeyedFeedState& aState, const FeedContext& aContext)
 {
--- a/src/FeedRequests.h
+++ b/src/FeedRequests.h
@@ -24,6 +24,10 @@
 FeedPull
 MakePull(const KeyedFeedState& aState);
 
+/** Returns a push of this node's copy without entries. */
+FeedPush
+MakePush(const KeyedFeedState& aState, TimePoint aNow);
+
 /** Requests a copy if this node has none: from a seed and from a random peer by
  * turns, from one of its own zone if there is any. A copy that is being
  * received is given up if its next page is late. */
--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -2,6 +2,7 @@
 
 #include "Duties.h"
 #include "EventNumbers.h"
+#include "FeedComparison.h"
 #include "FeedContent.h"
 #include "FeedRequests.h"
 #include "FeedTree.h"
@@ -96,7 +97,8 @@
     takeoverDelay +=
       Duration(static_cast<Duration::rep>(hash % kUnrankedSpread.count()));
   }
-  return isReader || age >= aState.mSettings.mStaleAfter + takeoverDelay;
+  return isReader || aState.mHasConflict ||
+         age >= aState.mSettings.mStaleAfter + takeoverDelay;
 }
 
 /** Adds to the recent changes. */
@@ -110,7 +112,7 @@
 }
 
 /** Applies the entries of a read and returns the changes to the copy. Entries
- * of a revision that is not above the copy's are skipped. */
+ * of a revision below the copy's are skipped. */
 std::vector<FeedEntry>
 ApplyRead(KeyedFeedState& aState, TimePoint aNow, const FeedReadResult& aRead)
 {
@@ -118,7 +120,7 @@
     return ApplyEntries(aState, aNow, aRead.mEntries, EntrySource::Store);
   }
   bool isOldRevision = aState.mIsLoaded && aState.mSettings.mHasWholeRecords &&
-                       aRead.mRevision <= aState.mRevision;
+                       aRead.mRevision < aState.mRevision;
   if (isOldRevision) {
     return {};
   }
@@ -160,18 +162,6 @@
     aState.mIsLoaded ? std::max(aState.mFreshAt, aFreshAt) : aFreshAt;
 }
 
-/** Returns a push of this node's copy without entries. */
-FeedPush
-MakePush(const KeyedFeedState& aState, TimePoint aNow)
-{
-  FeedPush push;
-  push.mTopic = aState.mSettings.mTopic;
-  push.mEnd = aState.mEnd;
-  push.mAge = aNow - aState.mFreshAt;
-  push.mRevision = aState.mRevision;
-  return push;
-}
-
 /** Sends a push to the other live members of this node's zone; in a large zone
  * along a tree, so that the cost for a node does not grow with the zone. */
 void
@@ -239,24 +229,49 @@
 bool
 IsContiguous(const KeyedFeedState& aState, const FeedPush& aPush)
 {
+  bool hasWholeRecords = aState.mSettings.mHasWholeRecords;
   return aState.mIsLoaded &&
-         (Connects(
-            aState.mSettings.mHasWholeRecords, aPush.mAfter, aState.mEnd) ||
-          aPush.mEnd == aState.mEnd);
+         (Connects(hasWholeRecords, aPush.mAfter, aState.mEnd) ||
+          (!hasWholeRecords && aPush.mEnd == aState.mEnd));
 }
 
-/** Requests the changes since this node's end from a peer, unless a request was
- * sent a moment ago: its answer may be large and under way. */
-void
+/** Requests the changes since aEnd from a peer, or a copy if aEnd is 0, unless
+ * a request was sent a moment ago: its answer may be large and under way.
+ * Returns whether the request was sent. */
+bool
 RequestChanges(KeyedFeedState& aState,
                const FeedContext& aContext,
-               const NodeId& aFrom)
+               const NodeId& aFrom,
+               LogOffset aEnd)
 {
   if (aContext.mNow < aState.mNextPullAt) {
-    return;
+    return false;
   }
   aState.mNextPullAt = aContext.mNow + kPullInterval;
-  aContext.mEffects.push_back(SendToPeer{ aFrom, MakePull(aState) });
+  FeedPull pull = MakePull(aState);
+  pull.mEnd = aEnd;
+  aContext.mEffects.push_back(SendToPeer{ aFrom, std::move(pull) });
+  return true;
+}
+
+/** Processes a push of this node's own revision, which has nothing to apply:
+ * it confirms the copy if its sender has the same entries. */
+void
+ReceiveSameRevision(KeyedFeedState& aState,
+                    const FeedContext& aContext,
+                    const NodeId& aFrom,
+                    const FeedPush& aPush)
+{
+  if (aPush.mIsSnapshot) {
+    aState.mCopy.reset();
+  }
+  if (aPush.mDigest != 0 && aPush.mDigest != aState.mDigest) {
+    HandleConflict(aState, aContext, aFrom, aPush);
+    return;
+  }
+  RecordFreshness(aState, aContext.mNow, aContext.mNow - aPush.mAge, aFrom);
+  AddDelta(aState, { aState.mEnd, aPush.mEnd, {} });
+  aState.mEnd = aPush.mEnd;
 }
 
 } // namespace
@@ -334,8 +349,10 @@
   bool wasLoaded = aState.mIsLoaded;
   aState.mIsLoaded = true;
   bool hasWholeRecords = aState.mSettings.mHasWholeRecords;
+  aState.mHasConflict = aState.mHasConflict && !aRead.mIsSnapshot;
   // Records that replace each other need not be read one by one.
-  aState.mNeedsFullRead = hasWholeRecords && aRead.mHasMore;
+  aState.mNeedsFullRead =
+    hasWholeRecords && (aRead.mHasMore || aState.mHasConflict);
   // The first read of a node is not pushed: the other nodes load a copy of
   // their own when they start.
   if (!wasLoaded) {
@@ -374,7 +391,8 @@
   }
   FeedCopy copy = std::move(*aState.mCopy);
   aState.mCopy.reset();
-  if (copy.mEnd < aState.mEnd) {
+  if (copy.mEnd < aState.mEnd || copy.mRevision < aState.mRevision ||
+      !HasStatedContent(copy)) {
     return;
   }
   RecordFreshness(aState, aContext.mNow, copy.mFreshAt, aFrom);
@@ -399,16 +417,29 @@
   if (aPush.mEnd < aState.mEnd || aPush.mRevision < aState.mRevision) {
     return;
   }
+  bool hasWholeRecords = aState.mSettings.mHasWholeRecords;
+  bool isSameRevision =
+    hasWholeRecords && aState.mIsLoaded && aPush.mRevision == aState.mRevision;
+  if (isSameRevision) {
+    ReceiveSameRevision(aState, aContext, aFrom, aPush);
+    return;
+  }
   if (aPush.mIsSnapshot) {
     ReceivePage(aState, aContext, aFrom, aPush);
     return;
   }
   if (!IsContiguous(aState, aPush)) {
-    RequestChanges(aState, aContext, aFrom);
+    RequestChanges(aState, aContext, aFrom, aState.mEnd);
+    return;
+  }
+  if (hasWholeRecords && !LeadsToSendersContent(aState, aPush)) {
+    if (RequestChanges(aState, aContext, aFrom, 0)) {
+      ReportDifference(aState, aContext, aFrom, aPush);
+    }
     return;
   }
   RecordFreshness(aState, aContext.mNow, aContext.mNow - aPush.mAge, aFrom);
-  if (Connects(aState.mSettings.mHasWholeRecords, aPush.mAfter, aState.mEnd)) {
+  if (Connects(hasWholeRecords, aPush.mAfter, aState.mEnd)) {
     ApplyEntries(aState, aContext.mNow, aPush.mEntries, EntrySource::Peer);
     AddDelta(aState, { aPush.mAfter, aPush.mEnd, aPush.mEntries });
   }
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -88,6 +88,11 @@
   Duration mReadWait{ 0 };
   /** The next read has to return all entries, not only the changed ones. */
   bool mNeedsFullRead = true;
+  /** A peer has other entries at the same revision, and the store was not read
+   * since. */
+  bool mHasConflict = false;
+  /** When the store may be read because of a conflict again. */
+  TimePoint mNextConflictReadAt{};
   TimePoint mNextReadAt{};
   TimePoint mNextPullAt{};
   /** The number of copies that were requested. */
@@ -141,7 +146,8 @@
 
 /** Applies a peer's push, and forwards it where it is to be forwarded. Requests
  * the missing changes from the peer if the push does not connect to this node's
- * copy. */
+ * copy, and a whole copy if they do not lead to the content that the peer
+ * states. */
 void
 FeedReceive(KeyedFeedState& aState,
             const FeedContext& aContext,
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -423,6 +423,9 @@
    */
   NodeId mTreeRoot{};
   std::uint64_t mTreeSeed = 0;
+  /** The digest of the sender's copy at mEnd, if the topic has revisions; 0 if
+   * the sender states none. */
+  std::uint64_t mDigest = 0;
   MSGPACK_DEFINE(mTopic,
                  mAfter,
                  mEnd,
@@ -433,7 +436,8 @@
                  mPageAfter,
                  mHasMore,
                  mTreeRoot,
-                 mTreeSeed)
+                 mTreeSeed,
+                 mDigest)
 };
 
 /** Requests the entries of a keyed topic that changed after mEnd, or a copy of
--- a/test/correctness/CopiesReplaceEarlierRevisions.cpp
+++ b/test/correctness/CopiesReplaceEarlierRevisions.cpp
@@ -1,4 +1,5 @@
 #include "../support/Properties.h"
+#include "FeedDigest.h"
 #include "KeyedFeed.h"
 
 #include <CppUTest/TestHarness.h>
@@ -138,6 +139,35 @@
     }
   }
 
+  /** Replaces an entry of a node by one that no record has. */
+  void Corrupt(std::size_t aNode)
+  {
+    KeyedFeedState& feed = mNodes[aNode].mFeed;
+    FeedEntry& head = feed.mEntries.at("head");
+    feed.mDigest -= EntryDigest(head);
+    head.mValue = "corrupted";
+    feed.mDigest += EntryDigest(head);
+  }
+
+  /** Lets all nodes run for 20 s without losses. */
+  void Settle()
+  {
+    for (int i = 0; i < 2000; ++i) {
+      mNow += milliseconds(10);
+      for (std::size_t node = 0; node < mNodes.size(); ++node) {
+        Effects effects;
+        FeedTick(
+          mNodes[node].mFeed,
+          { mNow, mNodes[node].mMembers, mNodes[node].mRandom, effects });
+        Send(node, effects);
+      }
+      for (const Delivery& it : std::exchange(mUnderWay, {})) {
+        std::visit([&](const auto& aContent) { Deliver(it, aContent); },
+                   it.mContent);
+      }
+    }
+  }
+
   /** Returns the first node whose content isn't that of its revision, or the
    * number of nodes. */
   std::size_t FirstWithOtherContent() const
@@ -174,7 +204,13 @@
    * so large that a copy takes several pages. */
   void Publish()
   {
-    Record record = mRecords.empty() ? Record{} : mRecords.back();
+    if (!mRecords.empty() && RandomBelow(mRandom, 8) == 0) {
+      // The store executes an earlier write late.
+      Record earlier = mRecords[RandomBelow(mRandom, mRecords.size())];
+      mRecords.push_back(std::move(earlier));
+      return;
+    }
+    Record record = Newest();
     record.mRevision += 1 + RandomBelow(mRandom, 3);
     record.mContent["head"] = std::to_string(record.mRevision);
     for (std::size_t n = 1 + RandomBelow(mRandom, 2); n > 0; --n) {
@@ -189,6 +225,15 @@
     mRecords.push_back(std::move(record));
   }
 
+  Record Newest() const
+  {
+    Record newest;
+    for (const Record& it : mRecords) {
+      newest = it.mRevision > newest.mRevision ? it : newest;
+    }
+    return newest;
+  }
+
   void Pull(std::size_t aNode)
   {
     FeedPull pull{ kTopic, mNodes[aNode].mFeed.mEnd, true, "" };
@@ -233,6 +278,9 @@
   void Send(std::size_t aFrom, const Effects& aEffects)
   {
     for (const Effect& it : aEffects) {
+      if (const auto* read = std::get_if<ReadFeed>(&it)) {
+        mUnderWay.push_back({ aFrom, aFrom, Answer(*read) });
+      }
       const auto* send = std::get_if<SendToPeer>(&it);
       if (!send) {
         continue;
@@ -246,6 +294,20 @@
     }
   }
 
+  /** Answers a read as the store does: a read of changes returns the newest
+   * record after its start. */
+  FeedReadResult Answer(const ReadFeed& aRead) const
+  {
+    if (aRead.mIsSnapshot || aRead.mFrom < mRecords.size()) {
+      return MakeRead(mRecords);
+    }
+    FeedReadResult read;
+    read.mTopic = kTopic;
+    read.mIsSuccessful = true;
+    read.mEnd = mRecords.size();
+    return read;
+  }
+
   bool HasContentOfItsRevision(const FeedNode& aNode) const
   {
     if (!aNode.mFeed.mIsLoaded) {
@@ -296,6 +358,70 @@
   STRCMP_EQUAL("A", first.Entries()["r"].c_str());
 }
 
+/** A node applied the changes since a revision to other entries than those of
+ * that revision, and had neither the old content nor the new one. */
+TEST(Copies, AreRequestedIfChangesDoNotLeadToTheSendersContent)
+{
+  FeedNode node("node");
+  std::vector<Record> records{ { 1, { { "head", "1" }, { "r", "A" } } } };
+  node.Receive(kStart, MakeRead(records));
+  FeedPush changes{ kTopic, 1, 2, false, Duration(0), { { "head", 1, "2" } } };
+  changes.mRevision = 2;
+  changes.mDigest =
+    EntryDigest({ "head", 1, "2" }) + EntryDigest({ "r", 0, "B" });
+  Effects effects = node.Receive(kStart, NodeId("sender"), changes);
+  LONGS_EQUAL(1, node.mFeed.mRevision);
+  const auto& pull =
+    std::get<FeedPull>(std::get<SendToPeer>(effects.front()).mMessage);
+  LONGS_EQUAL(0, pull.mEnd);
+  FeedPush copy{ kTopic, 0, 2, true, Duration(0), {} };
+  copy.mEntries = { { "head", 1, "2" }, { "r", 0, "B" } };
+  copy.mRevision = 2;
+  copy.mDigest = changes.mDigest;
+  node.Receive(kStart, NodeId("sender"), copy);
+  LONGS_EQUAL(2, node.mFeed.mRevision);
+  STRCMP_EQUAL("B", node.Entries()["r"].c_str());
+}
+
+/** Nodes that have other entries at one revision stayed so until the entries
+ * changed, whatever the reason. */
+TEST(Copies, OfOneRevisionThatDifferAreReadAgain)
+{
+  for (std::size_t i = 0; i < 4; ++i) {
+    Zone zone(4, 1);
+    zone.Settle();
+    zone.Corrupt(i);
+    LONGS_EQUAL(i, zone.FirstWithOtherContent());
+    zone.Settle();
+    LONGS_EQUAL(zone.Size(), zone.FirstWithOtherContent());
+  }
+}
+
+/** Builds that translate a record differently stay in conflict; each push would
+ * make every node of the zone read the whole record. */
+TEST(Copies, ThatKeepDifferingAreNotReadWithEachPush)
+{
+  FeedNode node("node");
+  std::vector<Record> records{ { 1, { { "head", "1" } } } };
+  node.Receive(kStart, MakeRead(records));
+  FeedPush push{ kTopic, 1, 1, false, Duration(0), {} };
+  push.mRevision = 1;
+  push.mDigest = 7;
+  int fullReads = 0;
+  for (Duration t{ 0 }; t < std::chrono::seconds(20); t += milliseconds(100)) {
+    node.Receive(kStart + t, NodeId("sender"), push);
+    Effects effects;
+    FeedTick(node.mFeed, { kStart + t, node.mMembers, node.mRandom, effects });
+    for (const Effect& it : effects) {
+      if (const auto* read = std::get_if<ReadFeed>(&it)) {
+        fullReads += read->mIsSnapshot ? 1 : 0;
+        node.Receive(kStart + t, MakeRead(records));
+      }
+    }
+  }
+  LONGS_EQUAL(1, fullReads);
+}
+
 TEST(Copies, AndChangesGiveEachRevisionItsContent)
 {
   CHECK(PropertyHolds("revisions have one content", 300, [] {
--- a/test/correctness/RefusedDocumentsLoseNoChanges.cpp
+++ b/test/correctness/RefusedDocumentsLoseNoChanges.cpp
@@ -94,3 +94,13 @@
   LONGS_EQUAL(3, node.Revision());
   STRCMP_EQUAL("/moved/b/", node.PathOf("moved").c_str());
 }
+
+/** Entries that a node had wrongly under a revision were corrected in its copy
+ * and not in what it served, since the revision was the same. */
+TEST(RefusedDocuments, AreNotThoseThatCorrectTheRevisionInForce)
+{
+  ReadingNode node;
+  node.Read(MakeDocument(1, "/a/"));
+  node.Read(MakeDocument(1, "/b/"));
+  STRCMP_EQUAL("/moved/b/", node.PathOf("moved").c_str());
+}
