Don't confirm a copy by a read that left records out

What callers would see: a change in force late.

Cause: a read of the store is limited in size. After an outage in which many configurations were written, the first read returns some of them and says that there are more; the node counted its copy as current at the start of the read, and told its zone so. If the next read failed, the zone waited for an age that had started again.

Change: such a read leaves the time of the last confirmation as it is.

Evidence: AreNotConfirmedByAReadThatLeavesRecordsOut fails before, passes now.

--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -333,8 +333,11 @@
     }
   }
   LogOffset after = aState.mEnd;
-  RecordFreshness(
-    aState, aContext.mNow, ConfirmedAt(aState, aContext.mNow, aRead), NodeId());
+  // Records that the read left out may be older than its start.
+  TimePoint confirmedAt = aRead.mHasMore && aState.mIsLoaded
+                            ? aState.mFreshAt
+                            : ConfirmedAt(aState, aContext.mNow, aRead);
+  RecordFreshness(aState, aContext.mNow, confirmedAt, NodeId());
   std::uint64_t outdatedBefore = aState.mOutdatedEntries;
   std::vector<FeedEntry> changes = ApplyRead(aState, aContext.mNow, aRead);
   if (aState.mOutdatedEntries > outdatedBefore) {
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -296,6 +296,22 @@
   CHECK(std::get<FeedPush>(reply.mMessage).mAge == seconds(10));
 }
 
+/** Guards against a node that counts its copy as confirmed although the store
+ * had more records than it returned: its zone, which trusts the age that it
+ * states, does not read in time if the next read fails. */
+TEST(KeyedFeeds, AreNotConfirmedByAReadThatLeavesRecordsOut)
+{
+  FeedNode node;
+  node.Read(kStart, FullRead(2, { { "a", 0, "A" } }));
+  TimePoint readAt = kStart + seconds(3);
+  node.Tick(readAt);
+  FeedReadResult part = DeltaRead(3, { { "a", 2, "A2" } });
+  part.mHasMore = true;
+  node.Read(readAt + milliseconds(4), part);
+  STRCMP_EQUAL("A2", node.mFeed.mEntries["a"].mValue.c_str());
+  CHECK(node.mFeed.mFreshAt <= kStart);
+}
+
 /** Guards against a copy whose content differs from its peers' although it ends
  * at the same offset: the digests are what tells them apart in the log. */
 TEST(KeyedFeeds, HaveTheDigestOfTheirContent)
