Pass on targets that were written again as before

What callers would see: fewer targets at some nodes after an outage, until the target's entry changes.

Cause: a reader that reads all entries anew, since the store has dropped records, passed on what differs from its own copy. A target whose entry expired and was written again as before doesn't differ. A peer that had seen the removal applied these changes up to the reader's end, and kept the target out.

Change: after a full read of such a topic, entries that were written since the copy's end are passed on although their values are known.

Evidence: PassOnEntriesThatWereWrittenAgainAsBefore fails before, passes now; the other tests of feeds pass.

--- a/src/FeedContent.cpp
+++ b/src/FeedContent.cpp
@@ -86,6 +86,17 @@
   return isNew || isRestored;
 }
 
+/** Returns whether the copy has an entry as the record since the copy's end
+ * wrote it. Peers may have seen other records of its key in between, so that
+ * they lack the entry even if this node has had its value before. */
+bool
+IsWrittenSinceEnd(const KeyedFeedState& aState, const FeedEntry& aEntry)
+{
+  auto it = aState.mEntries.find(aEntry.mKey);
+  return !aState.mSettings.mHasWholeRecords && aEntry.mOffset >= aState.mEnd &&
+         it != aState.mEntries.end() && it->second.mOffset == aEntry.mOffset;
+}
+
 } // namespace
 
 std::vector<FeedEntry>
@@ -114,8 +125,13 @@
   for (const FeedEntry& it : aEntries) {
     present.insert(it.mKey);
   }
-  std::vector<FeedEntry> changes =
-    ApplyEntries(aState, aNow, aEntries, aSource);
+  std::vector<FeedEntry> changes;
+  for (const FeedEntry& it : aEntries) {
+    if (ApplyEntry(aState, aNow, it, aSource) ||
+        IsWrittenSinceEnd(aState, it)) {
+      changes.push_back(it);
+    }
+  }
   std::vector<std::string> absent;
   for (const auto& [key, entry] : aState.mEntries) {
     bool isOlder = aState.mSettings.mHasWholeRecords || entry.mOffset < aEnd;
--- a/src/FeedContent.h
+++ b/src/FeedContent.h
@@ -16,7 +16,8 @@
 
 /** Applies the entries of a full copy that ends at aEnd, and removes older
  * entries that it does not contain, or all of these where records replace each
- * other. Returns the changes to the copy. */
+ * other. Returns the changes to the copy, and the entries that were written
+ * again since its end. */
 std::vector<FeedEntry>
 ApplySnapshot(KeyedFeedState& aState,
               TimePoint aNow,
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -312,6 +312,38 @@
   CHECK(node.mFeed.mFreshAt <= kStart);
 }
 
+/** Guards against a target that stays out of use at some nodes: its entry
+ * expired and was written again as before, which a reader that read everything
+ * anew did not count as a change, while a peer had seen the removal. */
+TEST(KeyedFeeds, PassOnEntriesThatWereWrittenAgainAsBefore)
+{
+  FeedNode reader;
+  FeedNode node;
+  MemberUpdate peer{
+    NodeId("10.0.0.2:1"), ZoneName("z"), 1, MemberStatus::Alive
+  };
+  Effects ignored;
+  MembershipReceive(
+    reader.mMembers, kStart, peer.mNode, Ping{ 1, 0, { peer } }, ignored);
+  for (FeedNode* it : { &reader, &node }) {
+    it->Read(kStart, FullRead(5, { { "a", 4, "A" }, { "b", 3, "B" } }));
+  }
+  node.Read(kStart, DeltaRead(6, { { "a", 5, "" } }));
+  LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
+  Effects effects =
+    reader.Read(kStart, FullRead(7, { { "a", 6, "A" }, { "b", 3, "B" } }));
+  FeedPush push;
+  for (const Effect& it : effects) {
+    if (const auto* send = std::get_if<SendToPeer>(&it)) {
+      push = std::get<FeedPush>(send->mMessage);
+    }
+  }
+  LONGS_EQUAL(1, push.mEntries.size());
+  node.Push(kStart, push);
+  LONGS_EQUAL(7, node.mFeed.mEnd);
+  LONGS_EQUAL(1, node.mFeed.mEntries.count("a"));
+}
+
 /** Guards against a copy whose content differs from its peers' although it ends
  * at the same offset: the digests are what tells them apart in the log. */
 TEST(KeyedFeeds, HaveTheDigestOfTheirContent)
