Bound what is read ahead of a caller that takes its answers

What callers saw: two callers that send small requests without end take the whole memory budget, and ordinary requests get 503 for lack of memory.

Cause: the bound of 64 KiB that is read ahead was checked when bytes came. After an answer was written the connection read on in any case, up to 16 KiB for each small request that it had taken from what it held.

Change: the bound is checked wherever the connection reads.

Evidence: crowd-streams.sh, 24 callers; its bound of 48 MB is the program, its state and 128 KiB a caller, as docs/CAPACITY.md has it.

--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -104,7 +104,8 @@
 void
 HttpConnection::Read()
 {
-  if (mIsReading || mIsClosed || mHasEnd || mWait) {
+  bool hasReadAhead = mPending.size() >= kMostReadAhead;
+  if (mIsReading || mIsClosed || mHasEnd || mWait || hasReadAhead) {
     return;
   }
   mIsReading = true;
@@ -156,10 +157,7 @@
   mPending.append(mState->mScratch.data(), aCount);
   mReceived.Add(SteadyNow(), aCount);
   Parse();
-  bool hasRoom = mPending.size() < kMostReadAhead;
-  if (!mIsClosed && hasRoom) {
-    Read();
-  }
+  Read();
 }
 
 bool
