Count what callers send behind requests in progress

What callers saw: the process exceeds the memory of its machine where that counts received bytes that are not read, as the users' machines do.

Cause: a caller may send on behind requests that their targets don't answer. The proxy read 64 KiB ahead and stopped; up to 64 KiB more stayed in the kernel, which nothing counted, for each connection.

Change: the kernel's part is taken from the budget when reading stops. Where there is none, what came behind the requests in progress is refused as not run, read on and dropped; they get their answers. One read, with the next head in it, is read ahead in place of four: the rest waits in the kernel as well.

Evidence: crowd-behind.sh, 400 callers, 64 MB, checks the process's memory with its unread bytes.

Not bounded by this: what the kernel receives of many callers before their turn to be read comes; the speed of the link bounds it.

--- a/src/HttpConnection.cpp
+++ b/src/HttpConnection.cpp
@@ -15,8 +15,9 @@
 
 /** Requests of one connection that are in progress at once. */
 constexpr std::size_t kMostPipelined = 8;
-/** Bytes behind an unfinished request that are read ahead. */
-constexpr std::size_t kMostReadAhead = 64UL * 1024;
+/** Bytes behind requests in progress from which on no more is read: the next
+ * head is among them, and the rest waits in the kernel. */
+constexpr std::size_t kMostReadAhead = kServerReadBytes;
 /** How long the end of a closed connection is awaited. */
 constexpr Duration kLingerTime = std::chrono::milliseconds(500);
 constexpr const char* kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -104,10 +105,14 @@
 void
 HttpConnection::Read()
 {
-  bool hasReadAhead = mPending.size() >= kMostReadAhead;
-  if (mIsReading || mIsClosed || mHasEnd || mWait || hasReadAhead) {
+  if (mIsReading || mIsClosed || mHasEnd || mWait) {
     return;
   }
+  bool hasReadAhead = !MayStartNext() && mPending.size() >= kMostReadAhead;
+  if (hasReadAhead && TakeUnreadRoom()) {
+    return;
+  }
+  mUnreadCharge.Set(0);
   mIsReading = true;
   // No memory is held for a connection from which nothing comes.
   mSocket.async_wait(
@@ -268,6 +273,8 @@
 {
   EndWait();
   mIsRefused = true;
+  mHasHeld = false;
+  mHeld = HttpRequest();
   mState->mCounters.mRefusedForRoom +=
     aProgress == HttpProgress::NoRoom ? 1 : 0;
   mState->mCounters.mTooSlow += aProgress == HttpProgress::Incomplete ? 1 : 0;
--- a/src/HttpConnection.h
+++ b/src/HttpConnection.h
@@ -89,6 +89,7 @@
   void OnRead(const boost::system::error_code& aError, std::size_t aCount);
   bool HasRoom() const;
   bool TakeRoom();
+  bool TakeUnreadRoom();
   void AwaitRoom();
   void EndWait();
   void CountHeld();
--- a/src/HttpConnectionMemory.cpp
+++ b/src/HttpConnectionMemory.cpp
@@ -92,6 +92,24 @@
   return hasRoom;
 }
 
+/** Takes memory for what the kernel receives while nothing more is read behind
+ * requests in progress. If there is none, refuses what came behind them and
+ * returns false: the connection is read on, and what comes is dropped. */
+bool
+HttpConnection::TakeUnreadRoom()
+{
+  const auto& budget = mState->mBudget;
+  // The share of small messages is not for what is sent too early.
+  bool hasRoom = !budget || mUnreadCharge.Bytes() > 0 ||
+                 budget->MayTake(kUnreadBytes, SIZE_MAX);
+  if (!hasRoom) {
+    Refuse(HttpProgress::NoRoom);
+    return false;
+  }
+  mUnreadCharge.Set(kUnreadBytes);
+  return true;
+}
+
 /** Reads no further until there is memory. */
 void
 HttpConnection::AwaitRoom()
