--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -61,6 +61,7 @@
   { kEventLogBack, "LogBack" },
   { kEventStoreLost, "StoreLost" },
   { kEventStoreBack, "StoreBack" },
+  { kEventStoreRestored, "StoreRestored" },
 };
 
 } // namespace
--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -225,6 +225,31 @@
   aState.mNextReadAt = aContext.mNow + delay / 2 + Duration(jitter);
 }
 
+/** Formats a position in a topic of the store for a log line. */
+std::string
+FormatPosition(std::uint64_t aEra, LogOffset aOffset)
+{
+  return std::to_string(aEra) + "/" + std::to_string(aOffset);
+}
+
+/** Writes an event if the era of the store is not that of the last read. */
+void
+ReportEra(KeyedFeedState& aState,
+          const FeedContext& aContext,
+          const FeedReadResult& aRead)
+{
+  if (aState.mStoreEra != 0 && aRead.mEra != aState.mStoreEra) {
+    aContext.mEffects.push_back(
+      WriteEvent{ kEventStoreRestored,
+                  "topic=" + aState.mSettings.mTopic +
+                    " from=" + FormatPosition(aState.mStoreEra, aState.mEnd) +
+                    " to=" + FormatPosition(aRead.mEra, aRead.mEnd) +
+                    " revision=" + std::to_string(aState.mRevision) +
+                    " store_revision=" + std::to_string(aRead.mRevision) });
+  }
+  aState.mStoreEra = aRead.mEra;
+}
+
 /** Returns whether a push without all entries connects to this node's copy. */
 bool
 IsContiguous(const KeyedFeedState& aState, const FeedPush& aPush)
@@ -315,6 +340,7 @@
         " failed_reads=" + std::to_string(aState.mConsecutiveFailures) });
     aState.mConsecutiveFailures = 0;
   }
+  ReportEra(aState, aContext, aRead);
   aState.mNextReadAt = aContext.mNow + aState.mSettings.mReadInterval;
   if (aRead.mIsTrimmed) {
     aState.mNeedsFullRead = true;
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -60,6 +60,9 @@
   std::uint64_t mDigest = 0;
   /** All records before this offset have been applied. */
   LogOffset mEnd = 0;
+  /** The era that the store stated in the last read of this node; 0 if it
+   * stated none. */
+  std::uint64_t mStoreEra = 0;
   /** The revision of the entries, if the topic has revisions. */
   std::uint64_t mRevision = 0;
   /** The keys of entries that were added, replaced or removed, in this order.
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -309,6 +309,18 @@
              "later ones of the same writer",
              static_cast<double>(aFeed.mOutdatedEntries),
              labels);
+  AddGauge(aRegistry,
+           "vanillascale_feed_era",
+           "Era of the platform's store in the last read of a topic by this "
+           "node; 0 if it has read none or the store states none",
+           static_cast<double>(aFeed.mStoreEra),
+           labels);
+  AddGauge(aRegistry,
+           "vanillascale_feed_end",
+           "Offset at which the local copy of a topic of the platform's store "
+           "ends",
+           static_cast<double>(aFeed.mEnd),
+           labels);
   AddGauge(aRegistry,
            "vanillascale_feed_entries",
            "Entries of the local copy of a topic of the platform's store",
@@ -494,6 +506,15 @@
   for (const auto& [service, scheduler] : aState.mSchedulers) {
     duties.push_back(service.mValue);
   }
+  Json feeds = Json::object();
+  for (const auto& [topic, feed] : aState.mFeeds) {
+    feeds[topic] = {
+      { "era", feed.mStoreEra },
+      { "end", feed.mEnd },
+      { "revision", feed.mRevision },
+      { "ageMs", (aNow - feed.mFreshAt) / std::chrono::milliseconds(1) }
+    };
+  }
   return Json{
     { "node", aState.mOptions.mSelf.mValue },
     { "zone", aState.mOptions.mZone.mValue },
@@ -501,6 +522,7 @@
     { "ready", IsReady(aState, aNow) },
     { "configOffset", aState.mConfig.mConfig.mOffset },
     { "heardConfigOffset", aState.mMembers.mHeardConfigOffset },
+    { "feeds", std::move(feeds) },
     { "schedules", std::move(duties) },
     { "members", std::move(members) }
   }.dump();
