Show that a restored store is not followed, for configuration and leaving

Real daemons and a store stand-in that comes back from an older copy (POST /drill?lost=N, Store-Era one higher, 410 for offsets it does not have). A worker whose leaving lies between the copy's end and the old end gets requests 4 s later (115 to 127), if later records pass the old end.

--- a/test/support/storm.py
+++ b/test/support/storm.py
@@ -35,10 +35,12 @@
 
 
 class Topic:
-    """A keyed topic: all records, and a signal for those who wait for more."""
+    """A keyed topic: all records, the era of the store, and a signal for those who wait
+    for more."""
 
     def __init__(self):
         self.records = []
+        self.era = 1
         self.changed = threading.Condition()
 
     def put(self, key, value):
@@ -46,14 +48,28 @@
             self.records.append((key, json.dumps(value).encode()))
             self.changed.notify_all()
 
+    def restore(self, lost):
+        """Comes back from a copy that lacks the last records, in the next era."""
+        with self.changed:
+            del self.records[max(0, len(self.records) - lost) :]
+            self.era += 1
+            self.changed.notify_all()
+
     def read(self, first, wait):
+        """Returns the era, and the records from an offset on; no records if the topic
+        does not have the offset."""
         with self.changed:
-            self.changed.wait_for(lambda: len(self.records) > first, wait)
+            era = self.era
+            self.changed.wait_for(
+                lambda: len(self.records) > first or self.era != era, wait
+            )
+            if first > len(self.records):
+                return self.era, None
             body = struct.pack(">QQ", len(self.records), 0)
             for key, value in self.records[first:]:
                 content = bytes([len(key)]) + key.encode() + value
                 body += struct.pack(">I", len(content)) + content
-            return body
+            return self.era, body
 
     def newest(self):
         with self.changed:
@@ -62,7 +78,7 @@
                 text = base64.b64encode(value).decode()
                 items[key] = {"key": key, "value": text, "offset": offset}
             page = {"items": list(items.values()), "more": False, "end": len(self.records)}
-            return json.dumps(page).encode()
+            return self.era, json.dumps(page).encode()
 
 
 TOPICS = {"keyed.op": Topic(), "keyed.servers": Topic()}
@@ -91,12 +107,31 @@
         query = dict(urllib.parse.parse_qsl(url.query))
         topic = TOPICS[query["topic"]]
         if self.server.is_away:
-            self.send(503, b"")
+            self.answer(topic.era, 503, b"")
         elif url.path == "/-/log-newest":
-            self.send(200, topic.newest())
+            era, page = topic.newest()
+            self.answer(era, 200, page)
         else:
             wait = int(query.get("wait_ms", 0)) / 1000
-            self.send(200, topic.read(int(query["from"]), wait))
+            era, body = topic.read(int(query["from"]), wait)
+            if body is None:
+                self.answer(era, 410, b'{"first": 0}')
+            else:
+                self.answer(era, 200, body)
+
+    def do_POST(self):
+        """POST /drill?lost=N: all topics lose their last N records."""
+        url = urllib.parse.urlsplit(self.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        if url.path != "/drill":
+            self.send(404, b"")
+            return
+        for it in TOPICS.values():
+            it.restore(int(query.get("lost", 0)))
+        self.answer(TOPICS["keyed.op"].era, 200, b"")
+
+    def answer(self, era, status, body):
+        self.send(status, body, ("Store-Era", str(era)))
 
 
 class Worker(Handler):
