--- a/daemons/CheckCommand.cpp
+++ b/daemons/CheckCommand.cpp
@@ -146,7 +146,7 @@
   }
   view.mInForce =
     Baseline{ std::move(snapshot->mDocument),
-              "offset " + std::to_string(snapshot->mOffset) + " of the store",
+              "position " + FormatPosition(snapshot->mPosition) + " of the store",
               false };
   view.mVms = std::move(snapshot->mVms);
   return view;
--- a/src/ConfigFold.h
+++ b/src/ConfigFold.h
@@ -4,6 +4,7 @@
 #include "Document.h"
 #include "Messages.h"
 #include "RouteTable.h"
+#include "StorePosition.h"
 
 #include <deque>
 #include <variant>
@@ -26,13 +27,27 @@
   RouteTable mRoutes;
   /** Index of the document's accounts, updated together with the document. */
   AccountIndex mAccounts;
+  /** The offset in the configuration stream; 0 with documents of a keyed topic.
+   */
   LogOffset mOffset = 0;
+  /** The position of the document in its keyed topic; the first one with a
+   * configuration stream. */
+  StorePosition mPosition{};
   /** Keyed by ObjectKey(). Entries of removed objects are kept. */
   std::map<std::string, ObjectModification> mLastModifications;
   /** Ids of the latest accepted changes, oldest first, to detect repeats. */
   std::deque<std::string> mAcceptedIds;
 };
 
+/** Returns the position of a configuration, which is that of another one only
+ * if both are the same. Those of a configuration stream have no era. Pure. */
+inline StorePosition
+ConfigPosition(const ConfigState& aState)
+{
+  return aState.mOffset > 0 ? StorePosition(0, aState.mOffset)
+                            : aState.mPosition;
+}
+
 /** The change was accepted and is applied. */
 struct ChangeAccepted
 {};
--- a/src/DocumentEntries.cpp
+++ b/src/DocumentEntries.cpp
@@ -121,7 +121,7 @@
 } // namespace
 
 std::vector<FeedEntry>
-MakeDocumentEntries(const Document& aDocument, LogOffset aOffset)
+MakeDocumentEntries(const Document& aDocument, const StorePosition& aPosition)
 {
   DocumentHead head;
   head.mEnvironment = aDocument.mEnvironment;
@@ -131,18 +131,18 @@
   std::vector<FeedEntry> entries;
   entries.reserve(1 + aDocument.mServices.size() + aDocument.mRoutes.size() +
                   aDocument.mAccounts.size());
-  entries.push_back({ kHeadKey, aOffset, Pack(head) });
+  entries.push_back({ kHeadKey, aPosition, Pack(head) });
   for (const auto& [name, service] : aDocument.mServices) {
     entries.push_back(
-      { ObjectKey(kServiceType, name.mValue), aOffset, Pack(service) });
+      { ObjectKey(kServiceType, name.mValue), aPosition, Pack(service) });
   }
   for (const auto& [name, route] : aDocument.mRoutes) {
     entries.push_back(
-      { ObjectKey(kRouteType, name.mValue), aOffset, Pack(route) });
+      { ObjectKey(kRouteType, name.mValue), aPosition, Pack(route) });
   }
   for (const auto& [name, account] : aDocument.mAccounts) {
     entries.push_back(
-      { ObjectKey(kAccountType, name.mValue), aOffset, Pack(account) });
+      { ObjectKey(kAccountType, name.mValue), aPosition, Pack(account) });
   }
   return entries;
 }
@@ -171,10 +171,14 @@
     return DocumentUpdate::Undecodable;
   }
   Document& document = aState.mDocument;
-  LogOffset offset = entry->second.mOffset;
+  const StorePosition& position = entry->second.mPosition;
   bool isFirst = document.mEnvironment.empty();
-  bool isOlder =
-    offset < aState.mOffset || head->mRevision < document.mRevision;
+  // Positions of different eras do not order revisions: a peer's copy of an
+  // earlier era may have a later one than the record of a restored store.
+  bool isOrdered = position.mEra == aState.mPosition.mEra ||
+                   head->mRevision == document.mRevision;
+  bool isOlder = head->mRevision < document.mRevision ||
+                 (isOrdered && position < aState.mPosition);
   bool isAccepted =
     isFirst || (!isOlder && head->mEnvironment == document.mEnvironment);
   if (!isAccepted) {
@@ -193,7 +197,7 @@
   }
   UpdateRoutes(aState, routes);
   UpdateAccounts(aState, accounts);
-  aState.mOffset = offset;
+  aState.mPosition = position;
   return DocumentUpdate::InForce;
 }
 
--- a/src/DocumentEntries.h
+++ b/src/DocumentEntries.h
@@ -13,10 +13,10 @@
  * the rest of the document. Nodes exchange and apply only the entries that
  * changed, so that the cost of a change does not grow with the document. */
 
-/** Returns a document as feed entries, all with the offset aOffset. Pure; any
- * thread. */
+/** Returns a document as feed entries, all with the position aPosition. Pure;
+ * any thread. */
 std::vector<FeedEntry>
-MakeDocumentEntries(const Document& aDocument, LogOffset aOffset);
+MakeDocumentEntries(const Document& aDocument, const StorePosition& aPosition);
 
 /** The result of UpdateDocument. */
 enum class DocumentUpdate
--- a/src/Effects.h
+++ b/src/Effects.h
@@ -100,7 +100,7 @@
 {
   std::string mTopic;
   bool mIsSnapshot = false;
-  LogOffset mFrom = 0;
+  StorePosition mFrom{};
   Duration mWait{ 0 };
 };
 
--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -62,6 +62,7 @@
   { kEventStoreLost, "StoreLost" },
   { kEventStoreBack, "StoreBack" },
   { kEventStoreRestored, "StoreRestored" },
+  { kEventStoreEraIgnored, "StoreEraIgnored" },
 };
 
 } // namespace
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -60,6 +60,7 @@
 constexpr int kEventStoreLost = 602;
 constexpr int kEventStoreBack = 603;
 constexpr int kEventStoreRestored = 604;
+constexpr int kEventStoreEraIgnored = 605;
 
 /** Returns the name of an event as in docs/EVENTS.md, or "Unknown" if the
  * number is not defined. Pure. */
--- a/src/FeedContent.cpp
+++ b/src/FeedContent.cpp
@@ -55,7 +55,7 @@
                        : FindRemovedOrder(aState.mOrders, aEntry.mKey);
   bool isAsNew =
     it != aState.mEntries.end() && !aState.mSettings.mHasWholeRecords &&
-    it->second.mOffset >= aEntry.mOffset && !IsLater(known, aEntry.mOrder);
+    it->second.mPosition >= aEntry.mPosition && !IsLater(known, aEntry.mOrder);
   if (isAsNew) {
     return false;
   }
@@ -93,8 +93,9 @@
 IsWrittenSinceEnd(const KeyedFeedState& aState, const FeedEntry& aEntry)
 {
   auto it = aState.mEntries.find(aEntry.mKey);
-  return !aState.mSettings.mHasWholeRecords && aEntry.mOffset >= aState.mEnd &&
-         it != aState.mEntries.end() && it->second.mOffset == aEntry.mOffset;
+  return !aState.mSettings.mHasWholeRecords &&
+         aEntry.mPosition >= aState.mEnd && it != aState.mEntries.end() &&
+         it->second.mPosition == aEntry.mPosition;
 }
 
 } // namespace
@@ -117,7 +118,7 @@
 std::vector<FeedEntry>
 ApplySnapshot(KeyedFeedState& aState,
               TimePoint aNow,
-              LogOffset aEnd,
+              const StorePosition& aEnd,
               const std::vector<FeedEntry>& aEntries,
               EntrySource aSource)
 {
@@ -134,7 +135,7 @@
   }
   std::vector<std::string> absent;
   for (const auto& [key, entry] : aState.mEntries) {
-    bool isOlder = aState.mSettings.mHasWholeRecords || entry.mOffset < aEnd;
+    bool isOlder = aState.mSettings.mHasWholeRecords || entry.mPosition < aEnd;
     if (isOlder && present.count(key) == 0) {
       absent.push_back(key);
     }
--- a/src/FeedContent.h
+++ b/src/FeedContent.h
@@ -21,7 +21,7 @@
 std::vector<FeedEntry>
 ApplySnapshot(KeyedFeedState& aState,
               TimePoint aNow,
-              LogOffset aEnd,
+              const StorePosition& aEnd,
               const std::vector<FeedEntry>& aEntries,
               EntrySource aSource);
 
--- a/src/FeedCopy.h
+++ b/src/FeedCopy.h
@@ -21,7 +21,7 @@
 struct FeedCopy
 {
   NodeId mSource;
-  LogOffset mEnd = 0;
+  StorePosition mEnd{};
   std::uint64_t mRevision = 0;
   /** The digest that the source has stated; 0 if it has stated none. */
   std::uint64_t mDigest = 0;
--- a/src/FeedDeltas.cpp
+++ b/src/FeedDeltas.cpp
@@ -11,9 +11,12 @@
 } // namespace
 
 bool
-Connects(bool aHasWholeRecords, LogOffset aAfter, LogOffset aEnd)
+Connects(bool aHasWholeRecords,
+         const StorePosition& aAfter,
+         const StorePosition& aEnd)
 {
-  return aHasWholeRecords ? aAfter == aEnd : aAfter <= aEnd;
+  return aHasWholeRecords ? aAfter == aEnd
+                          : aAfter.mEra == aEnd.mEra && aAfter <= aEnd;
 }
 
 void
@@ -45,13 +48,13 @@
 FeedDeltas::const_iterator
 FirstDeltaAfter(const FeedDeltas& aDeltas,
                 bool aHasWholeRecords,
-                LogOffset aEnd)
+                const StorePosition& aEnd)
 {
   auto it =
     std::find_if(aDeltas.begin(), aDeltas.end(), [&](const FeedDelta& aDelta) {
       return aDelta.mEnd > aEnd;
     });
-  bool isKnown = aEnd > 0 && it != aDeltas.end() &&
+  bool isKnown = aEnd != StorePosition() && it != aDeltas.end() &&
                  Connects(aHasWholeRecords, it->mAfter, aEnd);
   return isKnown ? it : aDeltas.end();
 }
--- a/src/FeedDeltas.h
+++ b/src/FeedDeltas.h
@@ -12,8 +12,8 @@
  * value was removed. */
 struct FeedDelta
 {
-  LogOffset mAfter = 0;
-  LogOffset mEnd = 0;
+  StorePosition mAfter{};
+  StorePosition mEnd{};
   std::vector<FeedEntry> mEntries;
 };
 
@@ -21,9 +21,12 @@
 using FeedDeltas = std::deque<FeedDelta>;
 
 /** Returns whether changes that start after aAfter connect to those that end at
- * aEnd. Changes between whole records have to start exactly there. Pure. */
+ * aEnd. Changes between whole records have to start exactly there, all others
+ * in the same era. Pure. */
 bool
-Connects(bool aHasWholeRecords, LogOffset aAfter, LogOffset aEnd);
+Connects(bool aHasWholeRecords,
+         const StorePosition& aAfter,
+         const StorePosition& aEnd);
 
 /** Appends changes, and drops the oldest ones beyond a limit of their number
  * and beyond aMaxEntries entries in total. */
@@ -38,7 +41,7 @@
 FeedDeltas::const_iterator
 FirstDeltaAfter(const FeedDeltas& aDeltas,
                 bool aHasWholeRecords,
-                LogOffset aEnd);
+                const StorePosition& aEnd);
 
 } // namespace vanillascale
 
--- a/src/FeedRequests.cpp
+++ b/src/FeedRequests.cpp
@@ -66,6 +66,31 @@
   }
 }
 
+bool
+RequestChanges(KeyedFeedState& aState,
+               const FeedContext& aContext,
+               const NodeId& aFrom,
+               const StorePosition& aEnd)
+{
+  if (aContext.mNow < aState.mNextPullAt) {
+    return false;
+  }
+  aState.mNextPullAt = aContext.mNow + kPullInterval;
+  FeedPull pull = MakePull(aState);
+  pull.mEnd = aEnd;
+  aContext.mEffects.push_back(SendToPeer{ aFrom, std::move(pull) });
+  return true;
+}
+
+void
+RequestCopyOfLaterEra(KeyedFeedState& aState, const FeedContext& aContext)
+{
+  bool isBehind = aState.mIsLoaded && aState.mEnd.mEra < aState.mLaterEra.mEra;
+  if (isBehind) {
+    RequestChanges(aState, aContext, aState.mLaterEraPeer, aState.mLaterEra);
+  }
+}
+
 void
 RequestChangesFromOtherZone(KeyedFeedState& aState, const FeedContext& aContext)
 {
--- a/src/FeedRequests.h
+++ b/src/FeedRequests.h
@@ -16,6 +16,9 @@
  * own. */
 constexpr Duration kTakeoverDelayPerRank = std::chrono::milliseconds(120);
 
+/** The interval of requests of a node with a copy. */
+constexpr Duration kPullInterval = std::chrono::milliseconds(200);
+
 /** Returns aMembers without this node. */
 std::vector<NodeId>
 WithoutSelf(std::vector<NodeId> aMembers, const NodeId& aSelf);
@@ -34,6 +37,20 @@
 void
 RequestCopyIfNotLoaded(KeyedFeedState& aState, const FeedContext& aContext);
 
+/** Requests the changes since aEnd from a peer, or a copy if aEnd is the start
+ * of an era, unless a request was sent a moment ago: its answer may be large
+ * and under way. Returns whether the request was sent. */
+bool
+RequestChanges(KeyedFeedState& aState,
+               const FeedContext& aContext,
+               const NodeId& aFrom,
+               const StorePosition& aEnd);
+
+/** Requests a copy of a later era, if a peer has one, until this node has it. A
+ * peer that forwarded a push may not have applied it itself yet. */
+void
+RequestCopyOfLaterEra(KeyedFeedState& aState, const FeedContext& aContext);
+
 /** Requests the changes from a random node of another zone if the store does
  * not answer this node and its zone has not read it either: the store may
  * answer the nodes of other zones. Only for topics with whole records, which
--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -16,7 +16,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kPullInterval = milliseconds(200);
 /** The delay after a failed read of a node without a rank of its own: it would
  * receive a push if the ranked ones could read, and together these nodes would
  * press a store that is down with the more calls the larger the fleet is. */
@@ -60,6 +59,8 @@
   read.mTopic = aState.mSettings.mTopic;
   read.mIsSnapshot = aState.mNeedsFullRead;
   read.mFrom = aState.mEnd;
+  aState.mIsFullRead = read.mIsSnapshot;
+  aState.mReadFrom = read.mFrom;
   // A read without new records confirms the copy at the end of its wait, so the
   // wait is shorter the older the copy is.
   Duration age = aContext.mNow - aState.mFreshAt;
@@ -225,29 +226,64 @@
   aState.mNextReadAt = aContext.mNow + delay / 2 + Duration(jitter);
 }
 
-/** Formats a position in a topic of the store for a log line. */
-std::string
-FormatPosition(std::uint64_t aEra, LogOffset aOffset)
+/** Moves the end of the copy, and writes an event if it is of a new era.
+ * aStoreRevision is the revision of the store's record, if it was read. */
+void
+MoveEnd(KeyedFeedState& aState,
+        const FeedContext& aContext,
+        const StorePosition& aEnd,
+        std::uint64_t aStoreRevision)
 {
-  return std::to_string(aEra) + "/" + std::to_string(aOffset);
+  if (aState.mIsLoaded && aEnd.mEra != aState.mEnd.mEra) {
+    aContext.mEffects.push_back(WriteEvent{
+      kEventStoreRestored,
+      "topic=" + aState.mSettings.mTopic +
+        " from=" + FormatPosition(aState.mEnd) + " to=" + FormatPosition(aEnd) +
+        " revision=" + std::to_string(aState.mRevision) +
+        " store_revision=" + std::to_string(aStoreRevision) +
+        " entries=" + std::to_string(aState.mEntries.size()) +
+        " missing=" + std::to_string(aState.mPendingRemovals.size()) });
+  }
+  aState.mEnd = aEnd;
 }
 
-/** Writes an event if the era of the store is not that of the last read. */
+/** Starts the grace period for entries that the store has lost, if aEnd is of a
+ * later era than the copy. Their owners need time to write them again. */
 void
-ReportEra(KeyedFeedState& aState,
-          const FeedContext& aContext,
-          const FeedReadResult& aRead)
+DeferRemovalsInNewEra(KeyedFeedState& aState,
+                      TimePoint aNow,
+                      const StorePosition& aEnd)
 {
-  if (aState.mStoreEra != 0 && aRead.mEra != aState.mStoreEra) {
-    aContext.mEffects.push_back(
-      WriteEvent{ kEventStoreRestored,
-                  "topic=" + aState.mSettings.mTopic +
-                    " from=" + FormatPosition(aState.mStoreEra, aState.mEnd) +
-                    " to=" + FormatPosition(aRead.mEra, aRead.mEnd) +
-                    " revision=" + std::to_string(aState.mRevision) +
-                    " store_revision=" + std::to_string(aRead.mRevision) });
-  }
-  aState.mStoreEra = aRead.mEra;
+  if (aState.mIsLoaded && aEnd.mEra > aState.mEnd.mEra) {
+    aState.mOutageEndedAt = aNow;
+  }
+}
+
+/** Returns whether the answer of a read tells nothing of the records after the
+ * copy's end, and schedules another read then. Offsets of one era do not exist
+ * in another one: the answer is either late, or the store was restored since.
+ */
+bool
+IsOfOtherEra(KeyedFeedState& aState,
+             const FeedContext& aContext,
+             const FeedReadResult& aRead)
+{
+  std::uint64_t era = aRead.mEnd.mEra;
+  if (era < aState.mEnd.mEra) {
+    aContext.mEffects.push_back(WriteEvent{
+      kEventStoreEraIgnored,
+      "topic=" + aState.mSettings.mTopic + " era=" + std::to_string(era) +
+        " end=" + FormatPosition(aState.mEnd) });
+    RecordReadFailure(aState, aContext);
+    return true;
+  }
+  bool isUsable =
+    !aState.mIsLoaded || aState.mIsFullRead || era == aState.mReadFrom.mEra;
+  if (!isUsable) {
+    aState.mNeedsFullRead = aState.mNeedsFullRead || era > aState.mEnd.mEra;
+    aState.mNextReadAt = aContext.mNow;
+  }
+  return !isUsable;
 }
 
 /** Returns whether a push without all entries connects to this node's copy. */
@@ -260,25 +296,6 @@
           (!hasWholeRecords && aPush.mEnd == aState.mEnd));
 }
 
-/** Requests the changes since aEnd from a peer, or a copy if aEnd is 0, unless
- * a request was sent a moment ago: its answer may be large and under way.
- * Returns whether the request was sent. */
-bool
-RequestChanges(KeyedFeedState& aState,
-               const FeedContext& aContext,
-               const NodeId& aFrom,
-               LogOffset aEnd)
-{
-  if (aContext.mNow < aState.mNextPullAt) {
-    return false;
-  }
-  aState.mNextPullAt = aContext.mNow + kPullInterval;
-  FeedPull pull = MakePull(aState);
-  pull.mEnd = aEnd;
-  aContext.mEffects.push_back(SendToPeer{ aFrom, std::move(pull) });
-  return true;
-}
-
 /** Processes a push of this node's own revision, which has nothing to apply:
  * it confirms the copy if its sender has the same entries. */
 void
@@ -296,7 +313,7 @@
   }
   RecordFreshness(aState, aContext.mNow, aContext.mNow - aPush.mAge, aFrom);
   AddDelta(aState, { aState.mEnd, aPush.mEnd, {} });
-  aState.mEnd = aPush.mEnd;
+  MoveEnd(aState, aContext, aPush.mEnd, 0);
 }
 
 } // namespace
@@ -317,6 +334,7 @@
   RemoveExpiredEntries(aState, aContext.mNow);
   ForgetOldOrders(aState.mOrders, aContext.mNow);
   RequestCopyIfNotLoaded(aState, aContext);
+  RequestCopyOfLaterEra(aState, aContext);
   RequestChangesFromOtherZone(aState, aContext);
   if (IsReadDue(aState, aContext)) {
     StartRead(aState, aContext);
@@ -333,6 +351,9 @@
     RecordReadFailure(aState, aContext);
     return;
   }
+  if (IsOfOtherEra(aState, aContext, aRead)) {
+    return;
+  }
   if (aState.mConsecutiveFailures > 0) {
     aContext.mEffects.push_back(WriteEvent{
       kEventStoreBack,
@@ -340,7 +361,6 @@
         " failed_reads=" + std::to_string(aState.mConsecutiveFailures) });
     aState.mConsecutiveFailures = 0;
   }
-  ReportEra(aState, aContext, aRead);
   aState.mNextReadAt = aContext.mNow + aState.mSettings.mReadInterval;
   if (aRead.mIsTrimmed) {
     aState.mNeedsFullRead = true;
@@ -351,14 +371,15 @@
     aContext.mEffects.push_back(WriteEvent{
       kEventRecordSkipped,
       "topic=" + aState.mSettings.mTopic +
-        " end=" + std::to_string(aRead.mEnd) + " " + aRead.mFault });
+        " end=" + FormatPosition(aRead.mEnd) + " " + aRead.mFault });
     if (!aState.mIsLoaded && aRead.mEntries.empty()) {
       // The entries in force are those of an earlier record, which a peer has.
       RecordReadFailure(aState, aContext);
       return;
     }
   }
-  LogOffset after = aState.mEnd;
+  StorePosition after = aState.mEnd;
+  DeferRemovalsInNewEra(aState, aContext.mNow, aRead.mEnd);
   // Records that the read left out may be older than its start.
   TimePoint confirmedAt = aRead.mHasMore && aState.mIsLoaded
                             ? aState.mFreshAt
@@ -372,9 +393,9 @@
       "topic=" + aState.mSettings.mTopic +
         " entries=" + std::to_string(aState.mOutdatedEntries - outdatedBefore) +
         " last_key=" + aState.mOutdatedKey +
-        " end=" + std::to_string(aRead.mEnd) });
+        " end=" + FormatPosition(aRead.mEnd) });
   }
-  aState.mEnd = std::max(aState.mEnd, aRead.mEnd);
+  MoveEnd(aState, aContext, std::max(aState.mEnd, aRead.mEnd), aRead.mRevision);
   bool wasLoaded = aState.mIsLoaded;
   aState.mIsLoaded = true;
   bool hasWholeRecords = aState.mSettings.mHasWholeRecords;
@@ -387,10 +408,16 @@
   if (!wasLoaded) {
     return;
   }
-  AddDelta(aState, { after, aState.mEnd, changes });
   FeedPush push = MakePush(aState, aContext.mNow);
   push.mAfter = after;
-  push.mEntries = std::move(changes);
+  if (hasWholeRecords || after.mEra == aState.mEnd.mEra) {
+    AddDelta(aState, { after, aState.mEnd, changes });
+    push.mEntries = std::move(changes);
+  } else {
+    // The changes do not tell what a peer has and the store has lost; peers
+    // request a copy.
+    aState.mRecentDeltas.clear();
+  }
   PushToZone(aContext, push);
 }
 
@@ -424,11 +451,12 @@
       !HasStatedContent(copy)) {
     return;
   }
+  DeferRemovalsInNewEra(aState, aContext.mNow, copy.mEnd);
   RecordFreshness(aState, aContext.mNow, copy.mFreshAt, aFrom);
   ApplySnapshot(
     aState, aContext.mNow, copy.mEnd, copy.mEntries, EntrySource::Peer);
   aState.mRecentDeltas.clear();
-  aState.mEnd = copy.mEnd;
+  MoveEnd(aState, aContext, copy.mEnd, 0);
   aState.mRevision = copy.mRevision;
   aState.mIsLoaded = true;
   aState.mNeedsFullRead = false;
@@ -457,12 +485,20 @@
     ReceivePage(aState, aContext, aFrom, aPush);
     return;
   }
+  bool isOfLaterEra =
+    aState.mIsLoaded && !hasWholeRecords && aPush.mEnd.mEra > aState.mEnd.mEra;
+  if (isOfLaterEra) {
+    aState.mLaterEraPeer = aFrom;
+    aState.mLaterEra = { aPush.mEnd.mEra, 0 };
+    RequestCopyOfLaterEra(aState, aContext);
+    return;
+  }
   if (!IsContiguous(aState, aPush)) {
     RequestChanges(aState, aContext, aFrom, aState.mEnd);
     return;
   }
   if (hasWholeRecords && !LeadsToSendersContent(aState, aPush)) {
-    if (RequestChanges(aState, aContext, aFrom, 0)) {
+    if (RequestChanges(aState, aContext, aFrom, StorePosition())) {
       ReportDifference(aState, aContext, aFrom, aPush);
     }
     return;
@@ -472,7 +508,7 @@
     ApplyEntries(aState, aContext.mNow, aPush.mEntries, EntrySource::Peer);
     AddDelta(aState, { aPush.mAfter, aPush.mEnd, aPush.mEntries });
   }
-  aState.mEnd = aPush.mEnd;
+  MoveEnd(aState, aContext, aPush.mEnd, 0);
   aState.mRevision = aPush.mRevision;
 }
 
@@ -487,7 +523,8 @@
   }
   FeedPush push = MakePush(aState, aContext.mNow);
   bool isPageRequest = !aPull.mPageAfter.empty();
-  if (!isPageRequest && aPull.mEnd > 0 && aPull.mEnd == aState.mEnd) {
+  if (!isPageRequest && aPull.mEnd != StorePosition() &&
+      aPull.mEnd == aState.mEnd) {
     push.mAfter = aState.mEnd;
     aContext.mEffects.push_back(SendToPeer{ aFrom, std::move(push) });
     return;
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -58,11 +58,8 @@
   std::map<std::string, FeedEntry> mEntries;
   /** The sum of the EntryDigest of all entries. */
   std::uint64_t mDigest = 0;
-  /** All records before this offset have been applied. */
-  LogOffset mEnd = 0;
-  /** The era that the store stated in the last read of this node; 0 if it
-   * stated none. */
-  std::uint64_t mStoreEra = 0;
+  /** All records before this position have been applied. */
+  StorePosition mEnd{};
   /** The revision of the entries, if the topic has revisions. */
   std::uint64_t mRevision = 0;
   /** The keys of entries that were added, replaced or removed, in this order.
@@ -85,6 +82,10 @@
   /** The peer that the copy was last confirmed by; empty for the store. */
   NodeId mConfirmedBy;
   bool mIsReading = false;
+  /** Whether the current or last read returns all entries, and otherwise where
+   * it starts. */
+  bool mIsFullRead = false;
+  StorePosition mReadFrom{};
   /** When the current or last read was started, and how long it may wait for a
    * new record. */
   TimePoint mReadStartedAt{};
@@ -98,6 +99,10 @@
   TimePoint mNextConflictReadAt{};
   TimePoint mNextReadAt{};
   TimePoint mNextPullAt{};
+  /** A peer whose copy is of a later era than this node's, and the start of
+   * that era. */
+  NodeId mLaterEraPeer;
+  StorePosition mLaterEra{};
   /** The number of copies that were requested. */
   unsigned mCopyPulls = 0;
   /** This node's rank among the readers of its zone; 0 is the reader, and the
@@ -115,7 +120,9 @@
    * later one, and the key of the last of them. */
   std::uint64_t mOutdatedEntries = 0;
   std::string mOutdatedKey;
-  /** When the end of the store's last outage was detected. */
+  /** When the end of the store's last outage, or its last restore, was
+   * detected.
+   */
   TimePoint mOutageEndedAt{};
   /** Incremented whenever an entry is added, removed or gets a new value. */
   std::uint64_t mVersion = 0;
--- a/src/Messages.h
+++ b/src/Messages.h
@@ -2,6 +2,7 @@
 #define VANILLASCALE_MESSAGES_H
 
 #include "Clock.h"
+#include "FeedMessages.h"
 #include "Ids.h"
 #include "MsgpackTypes.h"
 #include "TargetStatements.h"
@@ -117,10 +118,15 @@
   LeaseId mLease = 0;
   TargetId mTarget;
   Duration mSendWithin{ 0 };
-  /** The end of the scheduler's target list at the grant; 0 if the platform's
-   * lists have no offsets. */
-  LogOffset mTargetListEnd = 0;
-  MSGPACK_DEFINE(mRequest, mLease, mTarget, mSendWithin, mTargetListEnd)
+  /** The end of the scheduler's target list at the grant; the first position if
+   * the platform's lists have none. */
+  StorePosition mTargetListEnd{};
+  MSGPACK_DEFINE(mRequest,
+                 mLease,
+                 mTarget,
+                 mSendWithin,
+                 mTargetListEnd.mOffset,
+                 mTargetListEnd.mEra)
 };
 
 /** Why a LeaseRequest was refused. */
@@ -191,13 +197,14 @@
   std::optional<TargetStatements> mStatements;
   /** Set if the lease was not used because the target is leaving or gone by the
    * holder's target list: the end of that list. */
-  std::optional<LogOffset> mDeclinedAtListEnd;
+  OptionalPosition mDeclinedAtListEnd{};
   MSGPACK_DEFINE(mService,
                  mLease,
                  mOutcome,
                  mLatency,
                  mStatements,
-                 mDeclinedAtListEnd)
+                 mDeclinedAtListEnd.mOffset,
+                 mDeclinedAtListEnd.mEra)
 };
 
 /** Asks a proxy whether it still holds the given long-running leases. The proxy
@@ -376,84 +383,6 @@
   MSGPACK_DEFINE(mRequest, mState, mAnswer)
 };
 
-/** The place of an entry among those that its writer has written. The store may
- * execute a write seconds after later ones of the same writer, so the offsets
- * of the records do not tell which entry is the newer one. */
-struct EntryOrder
-{
-  /** Identifies one start of the writer, and is higher for a later one unless
-   * the writer's clock was set back; 0 if the entry has no order. */
-  std::uint64_t mEpoch = 0;
-  /** Higher for each later entry of the epoch. */
-  std::uint64_t mSequence = 0;
-  MSGPACK_DEFINE(mEpoch, mSequence)
-};
-
-/** The newest record of one key of a keyed topic. An empty value marks a
- * removed key. */
-struct FeedEntry
-{
-  std::string mKey;
-  LogOffset mOffset = 0;
-  std::string mValue;
-  EntryOrder mOrder{};
-  MSGPACK_DEFINE(mKey, mOffset, mValue, mOrder)
-};
-
-/** Forwards entries that the sender has read from a keyed topic: those that
- * changed between mAfter and mEnd or, with mIsSnapshot, all entries. A push
- * without mIsSnapshot and without entries reports that nothing has changed. */
-struct FeedPush
-{
-  std::string mTopic;
-  LogOffset mAfter = 0;
-  LogOffset mEnd = 0;
-  bool mIsSnapshot = false;
-  /** Age of the sender's copy of the topic when the message is sent. */
-  Duration mAge{ 0 };
-  std::vector<FeedEntry> mEntries;
-  /** The revision of the sender's copy, if the topic has revisions. */
-  std::uint64_t mRevision = 0;
-  /** With mIsSnapshot: the entries are those after this key, and more follow.
-   */
-  std::string mPageAfter{};
-  bool mHasMore = false;
-  /** The node that pushed first and, if the push is forwarded, a number that
-   * differs from push to push and determines which node forwards it to which.
-   */
-  NodeId mTreeRoot{};
-  std::uint64_t mTreeSeed = 0;
-  /** The digest of the sender's copy at mEnd, if the topic has revisions; 0 if
-   * the sender states none. */
-  std::uint64_t mDigest = 0;
-  MSGPACK_DEFINE(mTopic,
-                 mAfter,
-                 mEnd,
-                 mIsSnapshot,
-                 mAge,
-                 mEntries,
-                 mRevision,
-                 mPageAfter,
-                 mHasMore,
-                 mTreeRoot,
-                 mTreeSeed,
-                 mDigest)
-};
-
-/** Requests the entries of a keyed topic that changed after mEnd, or a copy of
- * all if the peer does not know which these are. A peer that has read less than
- * mEnd ignores it. */
-struct FeedPull
-{
-  std::string mTopic;
-  LogOffset mEnd = 0;
-  /** The sender accepts a copy in pages. Older versions send copies whole. */
-  bool mAcceptsPages = false;
-  /** Requests the page of a copy after this key; empty for the first one. */
-  std::string mPageAfter{};
-  MSGPACK_DEFINE(mTopic, mEnd, mAcceptsPages, mPageAfter)
-};
-
 /** Requests the members that the receiver knows, from the one after mAfter on.
  * mDigest is that of the sender's view: the first page is not sent if the
  * receiver's view has the same. */
@@ -554,10 +483,15 @@
   LeaseId mFirstLease = 0;
   LeaseId mLease = 0;
   TargetId mTarget;
-  /** The end of the scheduler's target list at the offer; 0 if the platform's
-   * lists have no offsets. */
-  LogOffset mTargetListEnd = 0;
-  MSGPACK_DEFINE(mRequest, mFirstLease, mLease, mTarget, mTargetListEnd)
+  /** The end of the scheduler's target list at the offer; the first position if
+   * the platform's lists have none. */
+  StorePosition mTargetListEnd{};
+  MSGPACK_DEFINE(mRequest,
+                 mFirstLease,
+                 mLease,
+                 mTarget,
+                 mTargetListEnd.mOffset,
+                 mTargetListEnd.mEra)
 };
 
 /** All messages between proxies. The index of an alternative identifies the
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -340,7 +340,7 @@
     UpdateHedgeRoutes(scheduler,
                       *service,
                       aState.mConfig.mConfig.mDocument,
-                      aState.mConfig.mConfig.mOffset);
+                      ConfigPosition(aState.mConfig.mConfig));
     SchedulerTick(scheduler, aNow, *service, aEffects);
     ++it;
   }
--- a/src/NodeEvents.h
+++ b/src/NodeEvents.h
@@ -162,10 +162,9 @@
   bool mIsSnapshot = false;
   /** The requested records are no longer retained: a snapshot must be read. */
   bool mIsTrimmed = false;
-  /** The era that the store has stated; 0 if it states none. */
-  std::uint64_t mEra = 0;
-  /** The offset at which the next read continues. */
-  LogOffset mEnd = 0;
+  /** The position at which the next read continues. Its era is set even if
+   * mIsTrimmed. */
+  StorePosition mEnd{};
   /** More records were available than the read returned. */
   bool mHasMore = false;
   /** The revision of the entries, if the topic has revisions; otherwise 0. */
--- a/src/NodeFeeds.cpp
+++ b/src/NodeFeeds.cpp
@@ -186,7 +186,7 @@
   auto ageMs = (aNow - aFeed.mFreshAt) / milliseconds(1);
   aEffects.push_back(WriteEvent{
     kEventDocumentRead,
-    "offset=" + std::to_string(config.mOffset) +
+    "position=" + FormatPosition(config.mPosition) +
       " revision=" + std::to_string(config.mDocument.mRevision) +
       " changes=" + std::to_string(changes) +
       " entries=" + std::to_string(aFeed.mEntries.size()) +
@@ -217,11 +217,11 @@
   return it == services.end() ? nullptr : &it->second;
 }
 
-LogOffset
+StorePosition
 TargetListEnd(const NodeState& aState)
 {
   auto it = aState.mFeeds.find(kTargetTopic);
-  return it == aState.mFeeds.end() ? 0 : it->second.mEnd;
+  return it == aState.mFeeds.end() ? StorePosition() : it->second.mEnd;
 }
 
 void
--- a/src/NodeFeeds.h
+++ b/src/NodeFeeds.h
@@ -17,7 +17,7 @@
 
 /** Returns the end of the node's target list; 0 if the platform's lists have no
  * offsets, or none has been read. */
-LogOffset
+StorePosition
 TargetListEnd(const NodeState& aState);
 
 /** Replaces the VM list and updates the members, the schedulers' target pools
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -311,15 +311,14 @@
              labels);
   AddGauge(aRegistry,
            "vanillascale_feed_era",
-           "Era of the platform's store in the last read of a topic by this "
-           "node; 0 if it has read none or the store states none",
-           static_cast<double>(aFeed.mStoreEra),
+           "Era of the platform's store that the local copy of a topic follows",
+           static_cast<double>(aFeed.mEnd.mEra),
            labels);
   AddGauge(aRegistry,
            "vanillascale_feed_end",
            "Offset at which the local copy of a topic of the platform's store "
            "ends",
-           static_cast<double>(aFeed.mEnd),
+           static_cast<double>(aFeed.mEnd.mOffset),
            labels);
   AddGauge(aRegistry,
            "vanillascale_feed_entries",
@@ -456,7 +455,7 @@
   AddGauge(registry,
            "vanillascale_config_offset",
            "Offset of the configuration in force",
-           static_cast<double>(aState.mConfig.mConfig.mOffset));
+           static_cast<double>(ConfigPosition(aState.mConfig.mConfig).mOffset));
   AddGauge(registry,
            "vanillascale_members",
            "Live members in the membership view of this node",
@@ -506,11 +505,12 @@
   for (const auto& [service, scheduler] : aState.mSchedulers) {
     duties.push_back(service.mValue);
   }
+  StorePosition position = ConfigPosition(aState.mConfig.mConfig);
   Json feeds = Json::object();
   for (const auto& [topic, feed] : aState.mFeeds) {
     feeds[topic] = {
-      { "era", feed.mStoreEra },
-      { "end", feed.mEnd },
+      { "era", feed.mEnd.mEra },
+      { "end", feed.mEnd.mOffset },
       { "revision", feed.mRevision },
       { "ageMs", (aNow - feed.mFreshAt) / std::chrono::milliseconds(1) }
     };
@@ -520,7 +520,8 @@
     { "zone", aState.mOptions.mZone.mValue },
     { "environment", aState.mOptions.mEnvironment },
     { "ready", IsReady(aState, aNow) },
-    { "configOffset", aState.mConfig.mConfig.mOffset },
+    { "configOffset", position.mOffset },
+    { "configEra", position.mEra },
     { "heardConfigOffset", aState.mMembers.mHeardConfigOffset },
     { "feeds", std::move(feeds) },
     { "schedules", std::move(duties) },
--- a/src/Proxy.h
+++ b/src/Proxy.h
@@ -236,7 +236,7 @@
   const VmsByKey& mVms;
   /** The end of the node's target list; 0 if the platform's lists have no
    * offsets. */
-  LogOffset mTargetListEnd = 0;
+  StorePosition mTargetListEnd{};
   Random& mRandom;
   Effects& mEffects;
   /** Which new requests are rejected because of a shutdown. */
--- a/src/ProxyLeases.cpp
+++ b/src/ProxyLeases.cpp
@@ -343,8 +343,8 @@
                 const LeaseGrant& aGrant)
 {
   TargetListing listing = ListingOf(aTargets, aGrant.mTarget);
-  bool isListNewer = aGrant.mTargetListEnd > 0 &&
-                     aContext.mTargetListEnd >= aGrant.mTargetListEnd;
+  bool isListNewer = aGrant.mTargetListEnd != StorePosition() &&
+                     Reaches(aContext.mTargetListEnd, aGrant.mTargetListEnd);
   return listing == TargetListing::Leaving ||
          (listing == TargetListing::Unlisted && isListNewer);
 }
@@ -489,7 +489,7 @@
                  const ProxyContext& aContext,
                  const ServiceName& aService,
                  const TargetId& aTarget,
-                 LogOffset aListEnd)
+                 const StorePosition& aListEnd)
 {
   const LocalBalancer& targets =
     aState.mSchedulerLinks.at(aService).mLocalChoice;
--- a/src/ProxyLeases.h
+++ b/src/ProxyLeases.h
@@ -51,7 +51,7 @@
                  const ProxyContext& aContext,
                  const ServiceName& aService,
                  const TargetId& aTarget,
-                 LogOffset aListEnd);
+                 const StorePosition& aListEnd);
 
 /** Reports to a scheduler that a granted lease is not used. */
 void
--- a/src/ProxyLog.cpp
+++ b/src/ProxyLog.cpp
@@ -141,8 +141,8 @@
     FormatRequestFields(aContext, aRequest) +
       " target=" + aGrant.mTarget.mValue + " scheduler=" + aScheduler.mValue +
       " reason=" + (aIsLeavingOrGone ? "listed" : "stated") +
-      " list_end=" + std::to_string(aContext.mTargetListEnd) +
-      " scheduler_list_end=" + std::to_string(aGrant.mTargetListEnd) });
+      " list_end=" + FormatPosition(aContext.mTargetListEnd) +
+      " scheduler_list_end=" + FormatPosition(aGrant.mTargetListEnd) });
 }
 
 void
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -31,7 +31,7 @@
   RequestId mRequest = 0;
   std::uint32_t mRoute = 0;
   /** The end of the target list at the grant. */
-  LogOffset mTargetListEnd = 0;
+  StorePosition mTargetListEnd{};
   bool mIsLong = false;
   bool mIsIdempotent = true;
   bool mIsRetry = false;
@@ -79,7 +79,7 @@
   std::unordered_map<std::uint32_t, unsigned> mRoutePercents;
   std::unordered_map<std::uint32_t, HedgeTokens> mRouteTokens;
   /** The version of the document that mRoutePercents is of. */
-  std::optional<LogOffset> mRoutesVersion;
+  std::optional<StorePosition> mRoutesVersion;
   HedgeTokens mTokens;
   /** Overdue requests, and late ones among the reported, by the zone of their
    * target. */
@@ -132,7 +132,7 @@
   TimePoint mLastClientMessageAt{};
   TargetPool mPool;
   /** The end of the target list that mPool was last updated from. */
-  LogOffset mTargetListEnd = 0;
+  StorePosition mTargetListEnd{};
   LeaseQueue mQueue;
   std::unordered_map<LeaseId, ActiveLease> mLeases;
   /** Leases by holder and request; a repeated request gets the same lease. */
--- a/src/SchedulerEvidence.cpp
+++ b/src/SchedulerEvidence.cpp
@@ -188,14 +188,14 @@
 ExcludeDeclinedTarget(SchedulerState& aState,
                       TimePoint aNow,
                       const ActiveLease& aLease,
-                      LogOffset aHolderListEnd)
+                      const StorePosition& aHolderListEnd)
 {
   auto it = aState.mPool.mTargets.find(aLease.mTarget);
   if (it == aState.mPool.mTargets.end()) {
     return;
   }
   PooledTarget& target = it->second;
-  if (aHolderListEnd >= aState.mTargetListEnd) {
+  if (Reaches(aHolderListEnd, aState.mTargetListEnd)) {
     target.mDrainingUntil =
       std::max(target.mDrainingUntil, aNow + kDeclinedExclusionTime);
   } else {
--- a/src/SchedulerHedges.cpp
+++ b/src/SchedulerHedges.cpp
@@ -301,7 +301,7 @@
 UpdateHedgeRoutes(SchedulerState& aState,
                   const Service& aSettings,
                   const Document& aDocument,
-                  LogOffset aVersion)
+                  const StorePosition& aVersion)
 {
   HedgeState& hedges = aState.mHedges;
   if (aSettings.mHedgePercent == 0) {
--- a/src/SchedulerHedges.h
+++ b/src/SchedulerHedges.h
@@ -18,7 +18,7 @@
 UpdateHedgeRoutes(SchedulerState& aState,
                   const Service& aSettings,
                   const Document& aDocument,
-                  LogOffset aVersion);
+                  const StorePosition& aVersion);
 
 /** Counts a granted request and marks its lease if it may be hedged.
  * Precondition: aLease is in use. */
--- a/test/correctness/ApiKeysAreChecked.cpp
+++ b/test/correctness/ApiKeysAreChecked.cpp
@@ -158,7 +158,7 @@
   document.mRevision = aRevision;
   std::map<std::string, FeedEntry> entries;
   std::vector<std::string> changed;
-  for (FeedEntry& it : MakeDocumentEntries(document, aOffset)) {
+  for (FeedEntry& it : MakeDocumentEntries(document, { 0, aOffset })) {
     auto old = aEntries.find(it.mKey);
     if (old == aEntries.end() || old->second.mValue != it.mValue) {
       changed.push_back(it.mKey);
@@ -523,7 +523,7 @@
       DiffDocument(config,
                    *ParseDocument(WithAccounts(
                      R"({ "name": "mado", "keys": [ "k-91d2" ] })"))) });
-  for (const FeedEntry& it : MakeDocumentEntries(config.mDocument, 1)) {
+  for (const FeedEntry& it : MakeDocumentEntries(config.mDocument, { 0, 1 })) {
     written += it.mValue;
   }
   for (const char* it : { kKey, kOtherKey, "unknown-5d0c8e", "k-91d2" }) {
@@ -575,7 +575,7 @@
   ConfigState state;
   std::map<std::string, FeedEntry> entries;
   std::vector<std::string> keys;
-  for (FeedEntry& it : MakeDocumentEntries(document, 1)) {
+  for (FeedEntry& it : MakeDocumentEntries(document, { 0, 1 })) {
     keys.push_back(it.mKey);
     entries.emplace(it.mKey, std::move(it));
   }
--- a/test/correctness/CopiesReplaceEarlierRevisions.cpp
+++ b/test/correctness/CopiesReplaceEarlierRevisions.cpp
@@ -46,10 +46,10 @@
   read.mTopic = kTopic;
   read.mIsSuccessful = true;
   read.mIsSnapshot = true;
-  read.mEnd = aRecords.size();
+  read.mEnd = { 0, aRecords.size() };
   read.mRevision = aRecords.back().mRevision;
   for (const auto& [key, value] : aRecords.back().mContent) {
-    read.mEntries.push_back({ key, aRecords.size() - 1, value });
+    read.mEntries.push_back({ key, { 0, aRecords.size() - 1 }, value });
   }
   return read;
 }
@@ -238,7 +238,7 @@
   {
     FeedPull pull{ kTopic, mNodes[aNode].mFeed.mEnd, true, "" };
     if (RandomBelow(mRandom, 3) == 0) {
-      pull.mEnd = 0;
+      pull.mEnd = { 0, 0 };
     }
     mUnderWay.push_back(
       { aNode, RandomBelow(mRandom, mNodes.size()), std::move(pull) });
@@ -298,13 +298,13 @@
    * record after its start. */
   FeedReadResult Answer(const ReadFeed& aRead) const
   {
-    if (aRead.mIsSnapshot || aRead.mFrom < mRecords.size()) {
+    if (aRead.mIsSnapshot || aRead.mFrom.mOffset < mRecords.size()) {
       return MakeRead(mRecords);
     }
     FeedReadResult read;
     read.mTopic = kTopic;
     read.mIsSuccessful = true;
-    read.mEnd = mRecords.size();
+    read.mEnd = { 0, mRecords.size() };
     return read;
   }
 
@@ -346,12 +346,13 @@
   second.Receive(kStart, MakeRead(records));
   records.push_back({ 2, { { "head", "2" }, { "r", "B" } } });
   first.Receive(kStart, MakeRead(records));
-  FeedPush changes{ kTopic, 1, 3, false, Duration(0), { { "head", 2, "3" } } };
+  FeedPush changes{ kTopic, { 0, 1 },    { 0, 3 },
+                    false,  Duration(0), { { "head", { 0, 2 }, "3" } } };
   changes.mRevision = 3;
   second.Receive(kStart, NodeId("third"), changes);
   STRCMP_EQUAL("A", second.Entries()["r"].c_str());
-  FeedPush copy =
-    PushOf(second.Receive(kStart, first.mId, FeedPull{ kTopic, 2, true, "" }));
+  FeedPush copy = PushOf(
+    second.Receive(kStart, first.mId, FeedPull{ kTopic, { 0, 2 }, true, "" }));
   CHECK(copy.mIsSnapshot);
   first.Receive(kStart, second.mId, copy);
   LONGS_EQUAL(3, first.mFeed.mRevision);
@@ -365,17 +366,18 @@
   FeedNode node("node");
   std::vector<Record> records{ { 1, { { "head", "1" }, { "r", "A" } } } };
   node.Receive(kStart, MakeRead(records));
-  FeedPush changes{ kTopic, 1, 2, false, Duration(0), { { "head", 1, "2" } } };
+  FeedPush changes{ kTopic, { 0, 1 },    { 0, 2 },
+                    false,  Duration(0), { { "head", { 0, 1 }, "2" } } };
   changes.mRevision = 2;
-  changes.mDigest =
-    EntryDigest({ "head", 1, "2" }) + EntryDigest({ "r", 0, "B" });
+  changes.mDigest = EntryDigest({ "head", { 0, 1 }, "2" }) +
+                    EntryDigest({ "r", { 0, 0 }, "B" });
   Effects effects = node.Receive(kStart, NodeId("sender"), changes);
   LONGS_EQUAL(1, node.mFeed.mRevision);
   const auto& pull =
     std::get<FeedPull>(std::get<SendToPeer>(effects.front()).mMessage);
-  LONGS_EQUAL(0, pull.mEnd);
-  FeedPush copy{ kTopic, 0, 2, true, Duration(0), {} };
-  copy.mEntries = { { "head", 1, "2" }, { "r", 0, "B" } };
+  CHECK(StorePosition(0, 0) == pull.mEnd);
+  FeedPush copy{ kTopic, { 0, 0 }, { 0, 2 }, true, Duration(0), {} };
+  copy.mEntries = { { "head", { 0, 1 }, "2" }, { "r", { 0, 0 }, "B" } };
   copy.mRevision = 2;
   copy.mDigest = changes.mDigest;
   node.Receive(kStart, NodeId("sender"), copy);
@@ -404,7 +406,7 @@
   FeedNode node("node");
   std::vector<Record> records{ { 1, { { "head", "1" } } } };
   node.Receive(kStart, MakeRead(records));
-  FeedPush push{ kTopic, 1, 1, false, Duration(0), {} };
+  FeedPush push{ kTopic, { 0, 1 }, { 0, 1 }, false, Duration(0), {} };
   push.mRevision = 1;
   push.mDigest = 7;
   int fullReads = 0;
--- a/test/correctness/DocumentsAreReviewed.cpp
+++ b/test/correctness/DocumentsAreReviewed.cpp
@@ -425,13 +425,13 @@
   std::map<std::string, FeedReadResult> topics;
   FeedReadResult& documents = topics[kDocumentTopic];
   documents.mIsSuccessful = true;
-  documents.mEntries = MakeDocumentEntries(document, 17);
+  documents.mEntries = MakeDocumentEntries(document, { 1, 17 });
   FeedReadResult& targets = topics[kTargetTopic];
   targets.mIsSuccessful = true;
   for (const Vm& it : MakeVms(2, 1)) {
-    targets.mEntries.push_back({ it.mAddress, 1, FormatVm(it) });
+    targets.mEntries.push_back({ it.mAddress, { 1, 1 }, FormatVm(it) });
   }
-  targets.mEntries.push_back({ "gone", 2, "" });
+  targets.mEntries.push_back({ "gone", { 0, 2 }, "" });
   PlatformAdapter adapter;
   adapter.mOpen = [&](boost::asio::io_context&,
                       const Endpoint&,
@@ -446,7 +446,7 @@
   };
   auto snapshot = ReadStore(adapter, {}, std::chrono::seconds(1));
   CHECK(snapshot.has_value());
-  LONGS_EQUAL(17, snapshot->mOffset);
+  CHECK(snapshot->mPosition == StorePosition(1, 17));
   LONGS_EQUAL(3, snapshot->mVms.size());
   CHECK(CompareDocuments(document, snapshot->mDocument).empty());
   documents.mEntries.clear();
--- a/test/correctness/FeedCopiesAndTreesReachAll.cpp
+++ b/test/correctness/FeedCopiesAndTreesReachAll.cpp
@@ -55,7 +55,7 @@
   read.mTopic = "targets";
   read.mIsSuccessful = true;
   read.mIsSnapshot = aIsSnapshot;
-  read.mEnd = aEnd;
+  read.mEnd = { 0, aEnd };
   read.mEntries = std::move(aEntries);
   return read;
 }
@@ -66,7 +66,7 @@
   std::vector<FeedEntry> entries;
   for (std::size_t i = 0; i < kEntries; ++i) {
     entries.push_back(
-      { "i-" + std::to_string(10000 + i), i, std::string(90, 'v') });
+      { "i-" + std::to_string(10000 + i), { 0, i }, std::string(90, 'v') });
   }
   return entries;
 }
@@ -95,7 +95,7 @@
   FeedNode source("source:1");
   FeedNode node("node:1");
   source.Receive(kStart, MakeRead(kEntries, MakeEntries(), true));
-  FeedPull pull{ "targets", 0, true, "" };
+  FeedPull pull{ "targets", { 0, 0 }, true, "" };
   std::size_t pages = 0;
   while (!node.mFeed.mIsLoaded) {
     FeedPush page = PushOf(source.Receive(kStart, node.mId, pull));
@@ -109,8 +109,8 @@
       // Entries may change and disappear while the copy is under way.
       source.Receive(kStart,
                      MakeRead(kEntries + 2,
-                              { { "i-10000", kEntries, "new" },
-                                { "i-10001", kEntries + 1, "" } },
+                              { { "i-10000", { 0, kEntries }, "new" },
+                                { "i-10001", { 0, kEntries + 1 }, "" } },
                               false));
     }
     Effects effects = node.Receive(kStart, source.mId, page);
@@ -118,7 +118,7 @@
     pull = node.mFeed.mIsLoaded ? pull : PullOf(effects);
   }
   CHECK(pages > 2);
-  LONGS_EQUAL(kEntries, node.mFeed.mEnd);
+  CHECK(StorePosition(0, kEntries) == node.mFeed.mEnd);
   LONGS_EQUAL(kEntries, node.mFeed.mEntries.size());
   // The changes after the first page follow as such.
   pull = { "targets", node.mFeed.mEnd, true, "" };
@@ -135,7 +135,7 @@
   FeedNode source("source:1");
   source.Receive(kStart, MakeRead(kEntries, MakeEntries(), true));
   FeedPush copy = PushOf(source.Receive(
-    kStart, NodeId("old:1"), FeedPull{ "targets", 0, false, "" }));
+    kStart, NodeId("old:1"), FeedPull{ "targets", { 0, 0 }, false, "" }));
   LONGS_EQUAL(kEntries, copy.mEntries.size());
   CHECK(!copy.mHasMore);
 }
@@ -146,7 +146,7 @@
   FeedNode source("source:1");
   FeedNode node("node:1");
   source.Receive(kStart, MakeRead(kEntries, MakeEntries(), true));
-  FeedPull pull{ "targets", 0, true, "" };
+  FeedPull pull{ "targets", { 0, 0 }, true, "" };
   while (!node.mFeed.mIsLoaded) {
     Effects effects = node.Receive(
       kStart, source.mId, PushOf(source.Receive(kStart, node.mId, pull)));
@@ -155,12 +155,12 @@
   LogOffset end = kEntries;
   FeedPush last;
   for (int i = 0; i < 3; ++i) {
-    FeedEntry change{ "i-1000" + std::to_string(i), end++, "new" };
+    FeedEntry change{ "i-1000" + std::to_string(i), { 0, end++ }, "new" };
     source.Receive(kStart, MakeRead(end, { change }, false));
     last = {};
     last.mTopic = "targets";
-    last.mAfter = end - 1;
-    last.mEnd = end;
+    last.mAfter = { 0, end - 1 };
+    last.mEnd = { 0, end };
     last.mEntries = { change };
   }
   // Only the last of the three arrives.
@@ -169,7 +169,7 @@
   CHECK(!changes.mIsSnapshot);
   LONGS_EQUAL(3, changes.mEntries.size());
   node.Receive(kStart + seconds(1), source.mId, changes);
-  LONGS_EQUAL(end, node.mFeed.mEnd);
+  CHECK(StorePosition(0, end) == node.mFeed.mEnd);
 }
 
 /** Guards against targets that have left and are in use again after a restart:
@@ -180,10 +180,10 @@
   FeedNode node("node:1");
   FeedPush copy;
   copy.mTopic = "targets";
-  copy.mEnd = 5;
+  copy.mEnd = { 0, 5 };
   copy.mIsSnapshot = true;
   copy.mAge = seconds(5);
-  copy.mEntries = { { "gone", 1, "v" } };
+  copy.mEntries = { { "gone", { 0, 1 }, "v" } };
   node.Receive(kStart, NodeId("peer:1"), copy);
   CHECK(node.mFeed.mIsLoaded);
   Effects effects;
@@ -191,7 +191,7 @@
            { kStart + milliseconds(10), node.mMembers, node.mRandom, effects });
   CHECK(std::holds_alternative<ReadFeed>(effects.back()));
   node.Receive(kStart + milliseconds(20),
-               MakeRead(8, { { "gone", 7, "" } }, false));
+               MakeRead(8, { { "gone", { 0, 7 }, "" } }, false));
   // The outage of the peer is none of the store's: nothing is kept for it.
   FeedTick(node.mFeed,
            { kStart + seconds(3), node.mMembers, node.mRandom, effects });
--- a/test/correctness/HedgesAreBounded.cpp
+++ b/test/correctness/HedgesAreBounded.cpp
@@ -272,7 +272,7 @@
   route.mService = fixture.mSettings.mName;
   route.mHedgePercent = 1;
   document.mRoutes[route.mName] = route;
-  UpdateHedgeRoutes(fixture.mState, fixture.mSettings, document, 1);
+  UpdateHedgeRoutes(fixture.mState, fixture.mSettings, document, { 0, 1 });
   auto hash = fixture.mState.mHedges.mRoutePercents.begin()->first;
   fixture.mState.mHedges.mWork[hash] = fixture.Work();
   LeaseRequest request = fixture.MakeLeaseRequest();
@@ -282,11 +282,11 @@
   LONGS_EQUAL(1, fixture.Denied(HedgeDenial::HedgeBudget));
   // A budget above the service's does not raise it.
   document.mRoutes[route.mName].mHedgePercent = 50;
-  UpdateHedgeRoutes(fixture.mState, fixture.mSettings, document, 2);
+  UpdateHedgeRoutes(fixture.mState, fixture.mSettings, document, { 0, 2 });
   CHECK(fixture.mState.mHedges.mRoutePercents.empty());
   // One target for each request leaves none for a hedge.
   document.mRoutes[route.mName].mAttempts = 1;
-  UpdateHedgeRoutes(fixture.mState, fixture.mSettings, document, 3);
+  UpdateHedgeRoutes(fixture.mState, fixture.mSettings, document, { 0, 3 });
   LONGS_EQUAL(0, fixture.mState.mHedges.mRoutePercents[hash]);
 }
 
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -61,7 +61,7 @@
   read.mTopic = "targets";
   read.mIsSuccessful = true;
   read.mIsSnapshot = true;
-  read.mEnd = aEnd;
+  read.mEnd = { 0, aEnd };
   read.mEntries = std::move(aEntries);
   return read;
 }
@@ -95,20 +95,21 @@
   LONGS_EQUAL(1, CountReads(effects));
   CHECK(std::get<ReadFeed>(effects.front()).mIsSnapshot);
   LONGS_EQUAL(0, CountReads(node.Tick(kStart + milliseconds(10))));
-  node.Read(kStart, FullRead(7, { { "a", 3, "A" } }));
+  node.Read(kStart, FullRead(7, { { "a", { 0, 3 }, "A" } }));
   CHECK(node.mFeed.mIsLoaded);
   LONGS_EQUAL(0, CountReads(node.Tick(kStart + milliseconds(440))));
   effects = node.Tick(kStart + milliseconds(450));
-  LONGS_EQUAL(7, std::get<ReadFeed>(effects.front()).mFrom);
+  CHECK(std::get<ReadFeed>(effects.front()).mFrom == StorePosition(0, 7));
 }
 
 TEST(KeyedFeeds, NeverReplaceAnEntryWithAnOlderOne)
 {
   FeedNode node;
-  node.Read(kStart, FullRead(7, { { "a", 6, "new" } }));
-  node.Read(kStart, FullRead(7, { { "a", 3, "old" } }));
+  node.Read(kStart, FullRead(7, { { "a", { 0, 6 }, "new" } }));
+  node.Read(kStart, FullRead(7, { { "a", { 0, 3 }, "old" } }));
   STRCMP_EQUAL("new", node.mFeed.mEntries["a"].mValue.c_str());
-  FeedPush push{ "targets", 0, 5, true, Duration(0), { { "a", 2, "older" } } };
+  FeedPush push{ "targets", { 0, 0 },    { 0, 5 },
+                 true,      Duration(0), { { "a", { 0, 2 }, "older" } } };
   node.Push(kStart, push);
   STRCMP_EQUAL("new", node.mFeed.mEntries["a"].mValue.c_str());
 }
@@ -116,8 +117,10 @@
 TEST(KeyedFeeds, DropRemovedEntriesAtOnceWithoutAnOutage)
 {
   FeedNode node;
-  node.Read(kStart, FullRead(2, { { "a", 0, "A" }, { "b", 1, "B" } }));
-  node.Read(kStart + milliseconds(450), DeltaRead(3, { { "a", 2, "" } }));
+  node.Read(kStart,
+            FullRead(2, { { "a", { 0, 0 }, "A" }, { "b", { 0, 1 }, "B" } }));
+  node.Read(kStart + milliseconds(450),
+            DeltaRead(3, { { "a", { 0, 2 }, "" } }));
   LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
   node.Read(kStart + milliseconds(900), FullRead(4, {}));
   LONGS_EQUAL(0, node.mFeed.mEntries.size());
@@ -126,11 +129,13 @@
 TEST(KeyedFeeds, KeepEntriesRemovedInAnOutageForAGracePeriod)
 {
   FeedNode node;
-  node.Read(kStart, FullRead(2, { { "a", 0, "A" }, { "b", 1, "B" } }));
+  node.Read(kStart,
+            FullRead(2, { { "a", { 0, 0 }, "A" }, { "b", { 0, 1 }, "B" } }));
   TimePoint back = kStart + seconds(9);
-  node.Read(back, DeltaRead(4, { { "a", 2, "" }, { "b", 3, "" } }));
+  node.Read(back,
+            DeltaRead(4, { { "a", { 0, 2 }, "" }, { "b", { 0, 3 }, "" } }));
   LONGS_EQUAL(2, node.mFeed.mEntries.size());
-  node.Read(back + milliseconds(900), DeltaRead(5, { { "b", 4, "B" } }));
+  node.Read(back + milliseconds(900), DeltaRead(5, { { "b", { 0, 4 }, "B" } }));
   node.Tick(back + milliseconds(2300));
   LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
   LONGS_EQUAL(1, node.mFeed.mEntries.count("b"));
@@ -139,7 +144,7 @@
 TEST(KeyedFeeds, AreReadInFullAfterRecordsWereTrimmed)
 {
   FeedNode node;
-  node.Read(kStart, FullRead(2, { { "a", 0, "A" } }));
+  node.Read(kStart, FullRead(2, { { "a", { 0, 0 }, "A" } }));
   FeedReadResult trimmed = DeltaRead(0, {});
   trimmed.mIsTrimmed = true;
   node.Read(kStart + milliseconds(500), trimmed);
@@ -158,7 +163,7 @@
   Effects ignored;
   MembershipReceive(
     node.mMembers, kStart, peer.mNode, Ping{ 1, 0, { peer, other } }, ignored);
-  node.Read(kStart, FullRead(2, { { "a", 0, "A" } }));
+  node.Read(kStart, FullRead(2, { { "a", { 0, 0 }, "A" } }));
   // Without pushes from the reader this node reads the store at any rank, early
   // enough that an entry is known two seconds after it was written.
   TimePoint readAt = TimePoint::max();
@@ -174,8 +179,9 @@
 TEST(KeyedFeeds, RequestAFullCopyWhenAPushLeavesAGap)
 {
   FeedNode node;
-  node.Read(kStart, FullRead(2, { { "a", 0, "A" } }));
-  FeedPush push{ "targets", 5, 6, false, Duration(0), { { "b", 5, "B" } } };
+  node.Read(kStart, FullRead(2, { { "a", { 0, 0 }, "A" } }));
+  FeedPush push{ "targets", { 0, 5 },    { 0, 6 },
+                 false,     Duration(0), { { "b", { 0, 5 }, "B" } } };
   Effects effects = node.Push(kStart, push);
   const auto& send = std::get<SendToPeer>(effects.front());
   CHECK(std::holds_alternative<FeedPull>(send.mMessage));
@@ -213,8 +219,9 @@
   LONGS_EQUAL(0, CountReads(effects));
   LONGS_EQUAL(1, effects.size());
   CHECK(std::get<SendToPeer>(effects.front()).mTo == NodeId("10.0.0.2:1"));
-  node.Push(kStart + milliseconds(30),
-            { "targets", 0, 7, true, Duration(0), { { "a", 3, "A" } } });
+  node.Push(
+    kStart + milliseconds(30),
+    { "targets", {}, { 0, 7 }, true, Duration(0), { { "a", { 0, 3 }, "A" } } });
   CHECK(node.mFeed.mIsLoaded);
   // If the node is its zone's reader, it reads on from the end of the copy.
   for (const Effect& it : node.Tick(kStart + milliseconds(40))) {
@@ -245,7 +252,7 @@
     node.mMembers, kStart, peer.mNode, Ping{ 1, 0, { peer } }, effects);
   node.mFeed.mSettings.mWait = milliseconds(800);
   node.Tick(kStart);
-  node.Read(kStart + milliseconds(4), FullRead(2, { { "a", 0, "A" } }));
+  node.Read(kStart + milliseconds(4), FullRead(2, { { "a", { 0, 0 }, "A" } }));
   // The node may be of any rank: a copy of this age is read at all of them.
   TimePoint readAt = kStart + milliseconds(1900);
   LONGS_EQUAL(1, CountReads(node.Tick(readAt)));
@@ -267,7 +274,7 @@
   FeedNode node;
   node.mFeed.mSettings.mWait = milliseconds(800);
   node.Tick(kStart);
-  node.Read(kStart, FullRead(2, { { "a", 0, "A" } }));
+  node.Read(kStart, FullRead(2, { { "a", { 0, 0 }, "A" } }));
   TimePoint readAt = kStart + milliseconds(450);
   Effects effects = node.Tick(readAt);
   Duration wait = std::get<ReadFeed>(effects.front()).mWait;
@@ -282,7 +289,8 @@
 TEST(KeyedFeeds, AreAsOldAsTheFirstCopyThatWasLoaded)
 {
   FeedNode node;
-  FeedPush copy{ "targets", 0, 2, true, seconds(10), { { "a", 0, "A" } } };
+  FeedPush copy{ "targets", { 0, 0 },    { 0, 2 },
+                 true,      seconds(10), { { "a", { 0, 0 }, "A" } } };
   TimePoint now = kStart + milliseconds(50);
   node.Push(now, copy);
   CHECK(node.mFeed.mIsLoaded);
@@ -291,7 +299,7 @@
   FeedReceive(node.mFeed,
               { now, node.mMembers, node.mRandom, effects },
               NodeId("10.0.0.2:1"),
-              FeedPull{ "targets", 0, true, "" });
+              FeedPull{ "targets", { 0, 0 }, true, "" });
   const auto& reply = std::get<SendToPeer>(effects.front());
   CHECK(std::get<FeedPush>(reply.mMessage).mAge == seconds(10));
 }
@@ -302,10 +310,10 @@
 TEST(KeyedFeeds, AreNotConfirmedByAReadThatLeavesRecordsOut)
 {
   FeedNode node;
-  node.Read(kStart, FullRead(2, { { "a", 0, "A" } }));
+  node.Read(kStart, FullRead(2, { { "a", { 0, 0 }, "A" } }));
   TimePoint readAt = kStart + seconds(3);
   node.Tick(readAt);
-  FeedReadResult part = DeltaRead(3, { { "a", 2, "A2" } });
+  FeedReadResult part = DeltaRead(3, { { "a", { 0, 2 }, "A2" } });
   part.mHasMore = true;
   node.Read(readAt + milliseconds(4), part);
   STRCMP_EQUAL("A2", node.mFeed.mEntries["a"].mValue.c_str());
@@ -326,12 +334,13 @@
   MembershipReceive(
     reader.mMembers, kStart, peer.mNode, Ping{ 1, 0, { peer } }, ignored);
   for (FeedNode* it : { &reader, &node }) {
-    it->Read(kStart, FullRead(5, { { "a", 4, "A" }, { "b", 3, "B" } }));
+    it->Read(kStart,
+             FullRead(5, { { "a", { 0, 4 }, "A" }, { "b", { 0, 3 }, "B" } }));
   }
-  node.Read(kStart, DeltaRead(6, { { "a", 5, "" } }));
+  node.Read(kStart, DeltaRead(6, { { "a", { 0, 5 }, "" } }));
   LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
-  Effects effects =
-    reader.Read(kStart, FullRead(7, { { "a", 6, "A" }, { "b", 3, "B" } }));
+  Effects effects = reader.Read(
+    kStart, FullRead(7, { { "a", { 0, 6 }, "A" }, { "b", { 0, 3 }, "B" } }));
   FeedPush push;
   for (const Effect& it : effects) {
     if (const auto* send = std::get_if<SendToPeer>(&it)) {
@@ -340,7 +349,7 @@
   }
   LONGS_EQUAL(1, push.mEntries.size());
   node.Push(kStart, push);
-  LONGS_EQUAL(7, node.mFeed.mEnd);
+  CHECK(StorePosition(0, 7) == node.mFeed.mEnd);
   LONGS_EQUAL(1, node.mFeed.mEntries.count("a"));
 }
 
@@ -350,13 +359,15 @@
 {
   FeedNode node;
   FeedNode other;
-  node.Read(kStart, FullRead(2, { { "a", 0, "A" }, { "b", 1, "B" } }));
-  node.Read(kStart, DeltaRead(4, { { "a", 2, "A2" }, { "b", 3, "" } }));
-  other.Read(kStart, FullRead(4, { { "a", 2, "B" } }));
+  node.Read(kStart,
+            FullRead(2, { { "a", { 0, 0 }, "A" }, { "b", { 0, 1 }, "B" } }));
+  node.Read(kStart,
+            DeltaRead(4, { { "a", { 0, 2 }, "A2" }, { "b", { 0, 3 }, "" } }));
+  other.Read(kStart, FullRead(4, { { "a", { 0, 2 }, "B" } }));
   CHECK(node.mFeed.mDigest != other.mFeed.mDigest);
-  other.Read(kStart, DeltaRead(5, { { "a", 4, "A2" } }));
+  other.Read(kStart, DeltaRead(5, { { "a", { 0, 4 }, "A2" } }));
   CHECK(node.mFeed.mDigest == other.mFeed.mDigest);
-  other.Read(kStart, DeltaRead(6, { { "a", 5, "" } }));
+  other.Read(kStart, DeltaRead(6, { { "a", { 0, 5 }, "" } }));
   CHECK_EQUAL(0U, other.mFeed.mDigest);
 }
 
@@ -367,24 +378,24 @@
 TEST(LateWrites, DoNotReplaceLaterEntriesOfTheirWriter)
 {
   FeedNode node;
-  node.Read(kStart, FullRead(1, { { "a", 0, "ready", { 90, 5 } } }));
-  node.Read(kStart, DeltaRead(2, { { "a", 1, "draining", { 90, 7 } } }));
-  node.Read(kStart, DeltaRead(3, { { "a", 2, "ready", { 90, 6 } } }));
+  node.Read(kStart, FullRead(1, { { "a", { 0, 0 }, "ready", { 90, 5 } } }));
+  node.Read(kStart, DeltaRead(2, { { "a", { 0, 1 }, "draining", { 90, 7 } } }));
+  node.Read(kStart, DeltaRead(3, { { "a", { 0, 2 }, "ready", { 90, 6 } } }));
   STRCMP_EQUAL("draining", node.mFeed.mEntries["a"].mValue.c_str());
   LONGS_EQUAL(1, node.mFeed.mOutdatedEntries);
-  node.Read(kStart, FullRead(3, { { "a", 2, "ready", { 90, 6 } } }));
+  node.Read(kStart, FullRead(3, { { "a", { 0, 2 }, "ready", { 90, 6 } } }));
   STRCMP_EQUAL("draining", node.mFeed.mEntries["a"].mValue.c_str());
-  node.Read(kStart, DeltaRead(4, { { "a", 3, "draining", { 90, 8 } } }));
-  LONGS_EQUAL(3, node.mFeed.mEntries["a"].mOffset);
+  node.Read(kStart, DeltaRead(4, { { "a", { 0, 3 }, "draining", { 90, 8 } } }));
+  CHECK(node.mFeed.mEntries["a"].mPosition == StorePosition(0, 3));
 }
 
 TEST(LateWrites, AreReplacedByWhatAPeerKnows)
 {
   FeedNode node;
   // It has read the late write only; its peer has read both.
-  node.Read(kStart, FullRead(3, { { "a", 2, "ready", { 90, 6 } } }));
-  FeedPush push{ "targets", 2, 3, false, Duration(0), {} };
-  push.mEntries = { { "a", 1, "draining", { 90, 7 } } };
+  node.Read(kStart, FullRead(3, { { "a", { 0, 2 }, "ready", { 90, 6 } } }));
+  FeedPush push{ "targets", { 0, 2 }, { 0, 3 }, false, Duration(0), {} };
+  push.mEntries = { { "a", { 0, 1 }, "draining", { 90, 7 } } };
   node.Push(kStart, push);
   STRCMP_EQUAL("draining", node.mFeed.mEntries["a"].mValue.c_str());
 }
@@ -392,14 +403,14 @@
 TEST(LateWrites, DoNotRestoreRemovedEntries)
 {
   FeedNode node;
-  node.Read(kStart, FullRead(1, { { "a", 0, "ready", { 90, 5 } } }));
-  node.Read(kStart, DeltaRead(2, { { "a", 1, "" } }));
-  node.Read(kStart, DeltaRead(3, { { "a", 2, "ready", { 90, 4 } } }));
+  node.Read(kStart, FullRead(1, { { "a", { 0, 0 }, "ready", { 90, 5 } } }));
+  node.Read(kStart, DeltaRead(2, { { "a", { 0, 1 }, "" } }));
+  node.Read(kStart, DeltaRead(3, { { "a", { 0, 2 }, "ready", { 90, 4 } } }));
   LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
   // The writer lives: its entry had expired while the store was away.
-  node.Read(kStart, DeltaRead(4, { { "a", 3, "ready", { 90, 6 } } }));
+  node.Read(kStart, DeltaRead(4, { { "a", { 0, 3 }, "ready", { 90, 6 } } }));
   LONGS_EQUAL(1, node.mFeed.mEntries.count("a"));
-  node.Read(kStart, DeltaRead(5, { { "a", 4, "" } }));
+  node.Read(kStart, DeltaRead(5, { { "a", { 0, 4 }, "" } }));
   node.Tick(kStart + seconds(40));
   LONGS_EQUAL(0, node.mFeed.mOrders.mRemoved.size());
 }
@@ -407,17 +418,17 @@
 TEST(LateWrites, OfAnEarlierStartDoNotReplaceThoseOfALaterOne)
 {
   FeedNode node;
-  node.Read(kStart, FullRead(1, { { "a", 0, "old", { 90, 5 } } }));
-  node.Read(kStart, DeltaRead(2, { { "a", 1, "new", { 95, 1 } } }));
-  node.Read(kStart, DeltaRead(3, { { "a", 2, "old", { 90, 6 } } }));
+  node.Read(kStart, FullRead(1, { { "a", { 0, 0 }, "old", { 90, 5 } } }));
+  node.Read(kStart, DeltaRead(2, { { "a", { 0, 1 }, "new", { 95, 1 } } }));
+  node.Read(kStart, DeltaRead(3, { { "a", { 0, 2 }, "old", { 90, 6 } } }));
   STRCMP_EQUAL("new", node.mFeed.mEntries["a"].mValue.c_str());
 }
 
 TEST(LateWrites, AreNotTakenForThoseOfAWriterWhoseClockWasSetBack)
 {
   FeedNode node;
-  node.Read(kStart, FullRead(1, { { "a", 0, "old", { 90, 5 } } }));
-  node.Read(kStart, DeltaRead(2, { { "a", 1, "new", { 80, 1 } } }));
-  node.Read(kStart, DeltaRead(3, { { "a", 2, "new", { 80, 2 } } }));
+  node.Read(kStart, FullRead(1, { { "a", { 0, 0 }, "old", { 90, 5 } } }));
+  node.Read(kStart, DeltaRead(2, { { "a", { 0, 1 }, "new", { 80, 1 } } }));
+  node.Read(kStart, DeltaRead(3, { { "a", { 0, 2 }, "new", { 80, 2 } } }));
   STRCMP_EQUAL("new", node.mFeed.mEntries["a"].mValue.c_str());
 }
--- a/test/correctness/LargeConfigurationsPropagate.cpp
+++ b/test/correctness/LargeConfigurationsPropagate.cpp
@@ -50,7 +50,7 @@
   {
     ++mEnd;
     mRevision = aDocument.mRevision;
-    mEntries = MakeDocumentEntries(aDocument, mEnd - 1);
+    mEntries = MakeDocumentEntries(aDocument, { 0, mEnd - 1 });
     mBytes = FormatDocument(aDocument).size();
     for (const auto& [node, read] : std::exchange(mWaiting, {})) {
       Answer(node, read);
@@ -72,7 +72,7 @@
         kStoreDelay, [this, aNode, failed] { mFleet.Post(aNode, failed); });
       return;
     }
-    bool isCurrent = !aRead.mIsSnapshot && aRead.mFrom >= mEnd;
+    bool isCurrent = !aRead.mIsSnapshot && aRead.mFrom.mOffset >= mEnd;
     if (aRead.mTopic != kDocumentTopic || !isCurrent) {
       Answer(aNode, aRead);
       return;
@@ -94,13 +94,13 @@
     result.mIsSuccessful = true;
     Duration delay = kStoreDelay;
     bool isDocument = aRead.mTopic == kDocumentTopic;
-    if (isDocument && (aRead.mIsSnapshot || aRead.mFrom < mEnd)) {
+    if (isDocument && (aRead.mIsSnapshot || aRead.mFrom.mOffset < mEnd)) {
       result.mIsSnapshot = true;
       result.mRevision = mRevision;
       result.mEntries = mEntries;
       delay += mFleet.ReceiveOnLink(aNode, mBytes);
     }
-    result.mEnd = isDocument ? mEnd : 0;
+    result.mEnd = { 0, isDocument ? mEnd : 0 };
     mFleet.mQueue.After(delay,
                         [this, aNode, result] { mFleet.Post(aNode, result); });
   }
--- a/test/correctness/NodeCostIsBounded.cpp
+++ b/test/correctness/NodeCostIsBounded.cpp
@@ -44,7 +44,7 @@
     vm.mZone = mFleet.ZoneAt(aTarget);
     vm.mSlots = static_cast<unsigned>(3 + mEnd % 5);
     std::string key = vm.mAddress.substr(0, vm.mAddress.find('@'));
-    mEntries[key] = { key, mEnd++, FormatVm(vm) };
+    mEntries[key] = { key, { 0, mEnd++ }, FormatVm(vm) };
   }
 
   std::size_t mReads = 0;
@@ -62,22 +62,22 @@
     Duration delay = kStoreDelay;
     if (aRead.mTopic == kTargetTopic) {
       result.mIsSnapshot = aRead.mIsSnapshot;
-      result.mEnd = mEnd;
+      result.mEnd = { 0, mEnd };
       for (const auto& [key, entry] : mEntries) {
-        if (aRead.mIsSnapshot || entry.mOffset >= aRead.mFrom) {
+        if (aRead.mIsSnapshot || entry.mPosition >= aRead.mFrom) {
           result.mEntries.push_back(entry);
         }
       }
     } else {
       delay += aRead.mWait;
-      result.mEnd = 1;
+      result.mEnd = { 0, 1 };
       if (aRead.mIsSnapshot) {
         result.mIsSnapshot = true;
         result.mRevision = 1;
         Document document;
         document.mEnvironment = "test";
         document.mRevision = 1;
-        result.mEntries = MakeDocumentEntries(document, 0);
+        result.mEntries = MakeDocumentEntries(document, {});
       }
     }
     mFleet.mQueue.After(delay,
--- a/test/correctness/RefusedDocumentsLoseNoChanges.cpp
+++ b/test/correctness/RefusedDocumentsLoseNoChanges.cpp
@@ -33,9 +33,9 @@
     read.mTopic = kDocumentTopic;
     read.mIsSuccessful = true;
     read.mIsSnapshot = true;
-    read.mEnd = aDocument.mRevision + 1;
+    read.mEnd = { 0, aDocument.mRevision + 1 };
     read.mRevision = aDocument.mRevision;
-    read.mEntries = MakeDocumentEntries(aDocument, aDocument.mRevision);
+    read.mEntries = MakeDocumentEntries(aDocument, { 0, aDocument.mRevision });
     for (FeedEntry& it : read.mEntries) {
       if (it.mKey == aBroken) {
         it.mValue = "\xc1";
--- a/test/correctness/StaleSchedulersAreOverruled.cpp
+++ b/test/correctness/StaleSchedulersAreOverruled.cpp
@@ -72,7 +72,7 @@
     vm.mSlots = 3;
     vm.mIsLeaving = aIsLeaving;
     vm.mIncarnation = 1;
-    mStore.PutTarget({ InstanceOf(IdOf(aTarget)), 0, FormatVm(vm) });
+    mStore.PutTarget({ InstanceOf(IdOf(aTarget)), {}, FormatVm(vm) });
   }
 
   /** The store accepts that a target is draining, or removes its entry. */
@@ -80,7 +80,7 @@
   {
     mLeftAt[IdOf(aTarget)] = mFleet.Now();
     if (aIsRemoved) {
-      mStore.PutTarget({ InstanceOf(IdOf(aTarget)), 0, "" });
+      mStore.PutTarget({ InstanceOf(IdOf(aTarget)), {}, "" });
     } else {
       PutTarget(aTarget, true);
     }
--- a/test/correctness/StoreIsTranslated.cpp
+++ b/test/correctness/StoreIsTranslated.cpp
@@ -54,7 +54,7 @@
 {
   std::map<std::string, FeedEntry> entries;
   std::vector<std::string> keys;
-  for (FeedEntry& it : MakeDocumentEntries(aDocument, aOffset)) {
+  for (FeedEntry& it : MakeDocumentEntries(aDocument, { 0, aOffset })) {
     keys.push_back(it.mKey);
     entries[it.mKey] = std::move(it);
   }
--- a/test/support/FakeStore.h
+++ b/test/support/FakeStore.h
@@ -31,11 +31,11 @@
    */
   void PutTarget(FeedEntry aEntry)
   {
-    aEntry.mOffset = mEnd++;
+    aEntry.mPosition = { mEra, mEnd++ };
     mRecords.push_back(std::move(aEntry));
   }
 
-  LogOffset End() const { return mEnd; }
+  StorePosition End() const { return { mEra, mEnd }; }
 
   /** Returns whether a node gets no answers. Tests replace it. */
   std::function<bool(std::size_t)> mIsCutOff = [](std::size_t) {
@@ -53,16 +53,16 @@
     } else if (aRead.mTopic == kTargetTopic) {
       result.mIsSuccessful = true;
       result.mIsSnapshot = aRead.mIsSnapshot;
-      result.mEnd = mEnd;
+      result.mEnd = { mEra, mEnd };
       result.mEntries = Entries(aRead);
     } else {
       result.mIsSuccessful = true;
-      result.mEnd = 1;
+      result.mEnd = { mEra, 1 };
       delay += aRead.mWait;
       if (aRead.mIsSnapshot) {
         result.mIsSnapshot = true;
         result.mRevision = mDocument.mRevision;
-        result.mEntries = MakeDocumentEntries(mDocument, 0);
+        result.mEntries = MakeDocumentEntries(mDocument, { mEra, 0 });
       }
     }
     mFleet.mQueue.After(delay,
@@ -74,7 +74,7 @@
     std::vector<FeedEntry> entries;
     if (!aRead.mIsSnapshot) {
       for (const FeedEntry& it : mRecords) {
-        if (it.mOffset >= aRead.mFrom) {
+        if (it.mPosition >= aRead.mFrom) {
           entries.push_back(it);
         }
       }
@@ -95,6 +95,7 @@
   FakeFleet& mFleet;
   Document mDocument;
   std::vector<FeedEntry> mRecords;
+  std::uint64_t mEra = 1;
   LogOffset mEnd = 0;
 };
 
