Keep a removed entry out of use when a restored store has it again

A store that is restored from an older copy loses removals as well: a worker that had left came into use again until its entry expired there. An entry of the order that was removed is now outdated; its worker comes back only with a later one. DoNotBringBackRemovedEntries failed before (expected 0 entries, 1 found).

--- a/src/EntryOrders.cpp
+++ b/src/EntryOrders.cpp
@@ -30,16 +30,18 @@
 bool
 IsOutdated(EntryOrders& aOrders,
            TimePoint aNow,
-           const EntryOrder& aKnown,
+           const KnownEntry& aKnown,
            const FeedEntry& aEntry,
            EntrySource aSource)
 {
   const EntryOrder& order = aEntry.mOrder;
-  if (order.mEpoch == 0 || aKnown.mEpoch == 0 || order.mEpoch > aKnown.mEpoch) {
+  const EntryOrder& known = aKnown.mOrder;
+  if (order.mEpoch == 0 || known.mEpoch == 0 || order.mEpoch > known.mEpoch) {
     return false;
   }
-  if (order.mEpoch == aKnown.mEpoch) {
-    return order.mSequence < aKnown.mSequence;
+  if (order.mEpoch == known.mEpoch) {
+    return order.mSequence < known.mSequence ||
+           (aKnown.mIsRemoved && order.mSequence == known.mSequence);
   }
   if (aSource == EntrySource::Peer) {
     return false;
--- a/src/EntryOrders.h
+++ b/src/EntryOrders.h
@@ -41,15 +41,23 @@
 bool
 IsLater(const EntryOrder& aKnown, const EntryOrder& aOrder);
 
-/** Returns whether the writer of an entry has written a later one. aKnown is
- * the order of the last known entry of its key, without an epoch if there is
- * none. A single entry of a lower epoch that was read from the store is a late
- * write; a second, later one shows that the writer has started again with its
- * clock set back. A peer has skipped such entries itself. */
+/** The last known entry of a key. */
+struct KnownEntry
+{
+  /** Without an epoch if there is none. */
+  EntryOrder mOrder;
+  bool mIsRemoved = false;
+};
+
+/** Returns whether the writer of an entry has written a later one, or the entry
+ * itself was removed: a store that was restored has it again. A single entry of
+ * a lower epoch that was read from the store is a late write; a second, later
+ * one shows that the writer has started again with its clock set back. A peer
+ * has skipped such entries itself. */
 bool
 IsOutdated(EntryOrders& aOrders,
            TimePoint aNow,
-           const EntryOrder& aKnown,
+           const KnownEntry& aKnown,
            const FeedEntry& aEntry,
            EntrySource aSource);
 
--- a/src/FeedContent.cpp
+++ b/src/FeedContent.cpp
@@ -60,7 +60,11 @@
     return false;
   }
   if (!aEntry.mValue.empty() &&
-      IsOutdated(aState.mOrders, aNow, known, aEntry, aSource)) {
+      IsOutdated(aState.mOrders,
+                 aNow,
+                 { known, it == aState.mEntries.end() },
+                 aEntry,
+                 aSource)) {
     ++aState.mOutdatedEntries;
     aState.mOutdatedKey = aEntry.mKey;
     return false;
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -375,6 +375,30 @@
  * of the same writer: a leaving target comes into use again. */
 TEST_GROUP(LateWrites){};
 
+/** A store that was restored has entries again whose removal it has lost. */
+TEST(LateWrites, DoNotBringBackRemovedEntries)
+{
+  FeedNode node;
+  node.Read(
+    kStart,
+    FullRead(2, { { "a", { 0, 1 }, "A", { 90, 7 } }, { "b", {}, "B" } }));
+  node.Read(kStart, DeltaRead(3, { { "a", { 0, 2 }, "" } }));
+  LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
+  FeedReadResult restored =
+    FullRead(2, { { "a", { 1, 1 }, "A", { 90, 7 } }, { "b", { 1, 0 }, "B" } });
+  restored.mEnd = { 1, 2 };
+  node.mFeed.mIsFullRead = true;
+  node.Read(kStart, restored);
+  CHECK(node.mFeed.mEnd == restored.mEnd);
+  LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
+  FeedReadResult written = DeltaRead(3, { { "a", { 1, 2 }, "A", { 90, 8 } } });
+  written.mEnd = { 1, 3 };
+  node.mFeed.mIsFullRead = false;
+  node.mFeed.mReadFrom = { 1, 2 };
+  node.Read(kStart, written);
+  LONGS_EQUAL(1, node.mFeed.mEntries.count("a"));
+}
+
 TEST(LateWrites, DoNotReplaceLaterEntriesOfTheirWriter)
 {
   FeedNode node;
