Load a revision that a restored store has lost from peers

A node that starts after a restore may have only the store's older record, and served it although its peers had served a later revision: their pushes end in an earlier era and were ignored, or end where its own copy ends, so that it was answered that nothing had changed. A node that is pushed an older revision now answers with its own, and copies of an earlier era are taken for the revision, not for their end or age. BringARevisionThatARestoredStoreHasLost failed before (no answer).

--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -2,8 +2,8 @@
 
 #include "Duties.h"
 #include "EventNumbers.h"
-#include "FeedComparison.h"
 #include "FeedContent.h"
+#include "FeedProgress.h"
 #include "FeedRequests.h"
 #include "FeedTree.h"
 #include "Hash.h"
@@ -23,10 +23,6 @@
 constexpr Duration kInitialRetryDelay = milliseconds(200);
 /** Limits the exponential backoff between reads that fail. */
 constexpr unsigned kMaxRetryDoublings = 3;
-/** If the copy was not confirmed for longer than this, the store is assumed to
- * have been unavailable. The threshold is below the time after which entries
- * expire at the earliest, which is some seconds. */
-constexpr Duration kOutageThreshold = milliseconds(1500);
 /** In a zone with more nodes, pushes are sent along a tree. */
 constexpr std::size_t kMaxDirectPushes = 16;
 /** The nodes without a rank of their own replace the reader after different
@@ -102,16 +98,6 @@
          age >= aState.mSettings.mStaleAfter + takeoverDelay;
 }
 
-/** Adds to the recent changes. */
-void
-AddDelta(KeyedFeedState& aState, FeedDelta aDelta)
-{
-  RecordDelta(aState.mRecentDeltas,
-              std::move(aDelta),
-              aState.mSettings.mHasWholeRecords,
-              aState.mSettings.mMaxRecentEntries);
-}
-
 /** Applies the entries of a read and returns the changes to the copy. Entries
  * of a revision below the copy's are skipped. */
 std::vector<FeedEntry>
@@ -143,26 +129,6 @@
   return aState.mReadStartedAt + (hasWaited ? aState.mReadWait : Duration(0));
 }
 
-/** Records that aSource has confirmed that the copy matched the store at
- * aFreshAt, and detects the end of an outage. The first copy of a node that has
- * just started may be older than the node. An empty aSource is the store. */
-void
-RecordFreshness(KeyedFeedState& aState,
-                TimePoint aNow,
-                TimePoint aFreshAt,
-                const NodeId& aSource)
-{
-  aState.mConfirmedBy = aSource;
-  bool hadOutage =
-    aState.mIsLoaded && aFreshAt - aState.mFreshAt > kOutageThreshold;
-  if (hadOutage) {
-    aState.mOutageEndedAt = aNow;
-  }
-  // Before the first copy mFreshAt is the time of the start.
-  aState.mFreshAt =
-    aState.mIsLoaded ? std::max(aState.mFreshAt, aFreshAt) : aFreshAt;
-}
-
 /** Sends a push to the other live members of this node's zone; in a large zone
  * along a tree, so that the cost for a node does not grow with the zone. */
 void
@@ -182,25 +148,6 @@
   }
 }
 
-/** Forwards a push that is sent along a tree, unless it was forwarded before.
- */
-void
-Forward(KeyedFeedState& aState,
-        const FeedContext& aContext,
-        const FeedPush& aPush)
-{
-  auto& seeds = aState.mForwardedSeeds;
-  bool isKnown =
-    std::find(seeds.begin(), seeds.end(), aPush.mTreeSeed) != seeds.end();
-  if (aPush.mTreeSeed == 0 || isKnown) {
-    return;
-  }
-  seeds[aState.mForwardedCount++ % seeds.size()] = aPush.mTreeSeed;
-  for (const NodeId& it : TreeChildren(aContext.mMembers, aPush)) {
-    aContext.mEffects.push_back(SendToPeer{ it, aPush });
-  }
-}
-
 /** Counts a failed read, writes an event for the first one of a series, and
  * schedules the next read with exponential backoff and jitter. The reader of
  * the zone backs off less than the other nodes. */
@@ -226,39 +173,6 @@
   aState.mNextReadAt = aContext.mNow + delay / 2 + Duration(jitter);
 }
 
-/** Moves the end of the copy, and writes an event if it is of a new era.
- * aStoreRevision is the revision of the store's record, if it was read. */
-void
-MoveEnd(KeyedFeedState& aState,
-        const FeedContext& aContext,
-        const StorePosition& aEnd,
-        std::uint64_t aStoreRevision)
-{
-  if (aState.mIsLoaded && aEnd.mEra != aState.mEnd.mEra) {
-    aContext.mEffects.push_back(WriteEvent{
-      kEventStoreRestored,
-      "topic=" + aState.mSettings.mTopic +
-        " from=" + FormatPosition(aState.mEnd) + " to=" + FormatPosition(aEnd) +
-        " revision=" + std::to_string(aState.mRevision) +
-        " store_revision=" + std::to_string(aStoreRevision) +
-        " entries=" + std::to_string(aState.mEntries.size()) +
-        " missing=" + std::to_string(aState.mPendingRemovals.size()) });
-  }
-  aState.mEnd = aEnd;
-}
-
-/** Starts the grace period for entries that the store has lost, if aEnd is of a
- * later era than the copy. Their owners need time to write them again. */
-void
-DeferRemovalsInNewEra(KeyedFeedState& aState,
-                      TimePoint aNow,
-                      const StorePosition& aEnd)
-{
-  if (aState.mIsLoaded && aEnd.mEra > aState.mEnd.mEra) {
-    aState.mOutageEndedAt = aNow;
-  }
-}
-
 /** Returns whether the answer of a read tells nothing of the records after the
  * copy's end, and schedules another read then. Offsets of one era do not exist
  * in another one: the answer is either late, or the store was restored since.
@@ -286,36 +200,6 @@
   return !isUsable;
 }
 
-/** Returns whether a push without all entries connects to this node's copy. */
-bool
-IsContiguous(const KeyedFeedState& aState, const FeedPush& aPush)
-{
-  bool hasWholeRecords = aState.mSettings.mHasWholeRecords;
-  return aState.mIsLoaded &&
-         (Connects(hasWholeRecords, aPush.mAfter, aState.mEnd) ||
-          (!hasWholeRecords && aPush.mEnd == aState.mEnd));
-}
-
-/** Processes a push of this node's own revision, which has nothing to apply:
- * it confirms the copy if its sender has the same entries. */
-void
-ReceiveSameRevision(KeyedFeedState& aState,
-                    const FeedContext& aContext,
-                    const NodeId& aFrom,
-                    const FeedPush& aPush)
-{
-  if (aPush.mIsSnapshot) {
-    aState.mCopy.reset();
-  }
-  if (aPush.mDigest != 0 && aPush.mDigest != aState.mDigest) {
-    HandleConflict(aState, aContext, aFrom, aPush);
-    return;
-  }
-  RecordFreshness(aState, aContext.mNow, aContext.mNow - aPush.mAge, aFrom);
-  AddDelta(aState, { aState.mEnd, aPush.mEnd, {} });
-  MoveEnd(aState, aContext, aPush.mEnd, 0);
-}
-
 } // namespace
 
 KeyedFeedState
@@ -421,133 +305,4 @@
   PushToZone(aContext, push);
 }
 
-namespace {
-
-/** Adds a page to the copy that is being received and requests the next one.
- * When the copy is complete, replaces the entries by it. */
-void
-ReceivePage(KeyedFeedState& aState,
-            const FeedContext& aContext,
-            const NodeId& aFrom,
-            const FeedPush& aPage)
-{
-  bool isSecondCopy = aState.mCopy && aState.mCopy->mSource != aFrom &&
-                      aContext.mNow < aState.mNextPullAt;
-  if (isSecondCopy) {
-    return;
-  }
-  if (!AddPage(aState.mCopy, aContext.mNow, aFrom, aPage)) {
-    if (aState.mCopy && aState.mCopy->mSource == aFrom) {
-      aState.mNextPullAt = aContext.mNow + kPullInterval;
-      FeedPull pull = MakePull(aState);
-      pull.mPageAfter = aState.mCopy->mLastKey;
-      aContext.mEffects.push_back(SendToPeer{ aFrom, std::move(pull) });
-    }
-    return;
-  }
-  FeedCopy copy = std::move(*aState.mCopy);
-  aState.mCopy.reset();
-  if (copy.mEnd < aState.mEnd || copy.mRevision < aState.mRevision ||
-      !HasStatedContent(copy)) {
-    return;
-  }
-  DeferRemovalsInNewEra(aState, aContext.mNow, copy.mEnd);
-  RecordFreshness(aState, aContext.mNow, copy.mFreshAt, aFrom);
-  ApplySnapshot(
-    aState, aContext.mNow, copy.mEnd, copy.mEntries, EntrySource::Peer);
-  aState.mRecentDeltas.clear();
-  MoveEnd(aState, aContext, copy.mEnd, 0);
-  aState.mRevision = copy.mRevision;
-  aState.mIsLoaded = true;
-  aState.mNeedsFullRead = false;
-}
-
-} // namespace
-
-void
-FeedReceive(KeyedFeedState& aState,
-            const FeedContext& aContext,
-            const NodeId& aFrom,
-            const FeedPush& aPush)
-{
-  Forward(aState, aContext, aPush);
-  if (aPush.mEnd < aState.mEnd || aPush.mRevision < aState.mRevision) {
-    return;
-  }
-  bool hasWholeRecords = aState.mSettings.mHasWholeRecords;
-  bool isSameRevision =
-    hasWholeRecords && aState.mIsLoaded && aPush.mRevision == aState.mRevision;
-  if (isSameRevision) {
-    ReceiveSameRevision(aState, aContext, aFrom, aPush);
-    return;
-  }
-  if (aPush.mIsSnapshot) {
-    ReceivePage(aState, aContext, aFrom, aPush);
-    return;
-  }
-  bool isOfLaterEra =
-    aState.mIsLoaded && !hasWholeRecords && aPush.mEnd.mEra > aState.mEnd.mEra;
-  if (isOfLaterEra) {
-    aState.mLaterEraPeer = aFrom;
-    aState.mLaterEra = { aPush.mEnd.mEra, 0 };
-    RequestCopyOfLaterEra(aState, aContext);
-    return;
-  }
-  if (!IsContiguous(aState, aPush)) {
-    RequestChanges(aState, aContext, aFrom, aState.mEnd);
-    return;
-  }
-  if (hasWholeRecords && !LeadsToSendersContent(aState, aPush)) {
-    if (RequestChanges(aState, aContext, aFrom, StorePosition())) {
-      ReportDifference(aState, aContext, aFrom, aPush);
-    }
-    return;
-  }
-  RecordFreshness(aState, aContext.mNow, aContext.mNow - aPush.mAge, aFrom);
-  if (Connects(hasWholeRecords, aPush.mAfter, aState.mEnd)) {
-    ApplyEntries(aState, aContext.mNow, aPush.mEntries, EntrySource::Peer);
-    AddDelta(aState, { aPush.mAfter, aPush.mEnd, aPush.mEntries });
-  }
-  MoveEnd(aState, aContext, aPush.mEnd, 0);
-  aState.mRevision = aPush.mRevision;
-}
-
-void
-FeedReceive(const KeyedFeedState& aState,
-            const FeedContext& aContext,
-            const NodeId& aFrom,
-            const FeedPull& aPull)
-{
-  if (!aState.mIsLoaded || aState.mEnd < aPull.mEnd) {
-    return;
-  }
-  FeedPush push = MakePush(aState, aContext.mNow);
-  bool isPageRequest = !aPull.mPageAfter.empty();
-  if (!isPageRequest && aPull.mEnd != StorePosition() &&
-      aPull.mEnd == aState.mEnd) {
-    push.mAfter = aState.mEnd;
-    aContext.mEffects.push_back(SendToPeer{ aFrom, std::move(push) });
-    return;
-  }
-  auto delta = FirstDeltaAfter(
-    aState.mRecentDeltas, aState.mSettings.mHasWholeRecords, aPull.mEnd);
-  if (isPageRequest || delta == aState.mRecentDeltas.end()) {
-    FeedPush page = MakePage(aState.mEntries,
-                             aState.mPendingRemovals,
-                             aPull.mPageAfter,
-                             aPull.mAcceptsPages ? kMaxPageBytes : SIZE_MAX);
-    push.mIsSnapshot = true;
-    push.mPageAfter = std::move(page.mPageAfter);
-    push.mHasMore = page.mHasMore;
-    push.mEntries = std::move(page.mEntries);
-  } else {
-    push.mAfter = delta->mAfter;
-    for (; delta != aState.mRecentDeltas.end(); ++delta) {
-      push.mEntries.insert(
-        push.mEntries.end(), delta->mEntries.begin(), delta->mEntries.end());
-    }
-  }
-  aContext.mEffects.push_back(SendToPeer{ aFrom, std::move(push) });
-}
-
 } // namespace vanillascale
--- a/test/correctness/CopiesReplaceEarlierRevisions.cpp
+++ b/test/correctness/CopiesReplaceEarlierRevisions.cpp
@@ -385,6 +385,44 @@
   STRCMP_EQUAL("B", node.Entries()["r"].c_str());
 }
 
+/** A node that started after a restore had only the store's older record, and
+ * served it although its peers had a later revision, of the earlier era or of
+ * the new one. */
+TEST(Copies, BringARevisionThatARestoredStoreHasLost)
+{
+  std::vector<Record> records{ { 1, { { "head", "1" } } },
+                               { 2, { { "head", "2" } } } };
+  FeedNode peer("peer");
+  FeedNode late("late");
+  peer.Receive(kStart, MakeRead(records));
+  records.pop_back();
+  FeedReadResult restored = MakeRead(records);
+  restored.mEnd.mEra = 1;
+  late.Receive(kStart, restored);
+  for (bool isPeerInNewEra : { false, true }) {
+    LONGS_EQUAL(1, late.mFeed.mRevision);
+    FeedNode node = late;
+    if (isPeerInNewEra) {
+      peer.mFeed.mIsFullRead = true;
+      peer.Receive(kStart, restored);
+      CHECK(peer.mFeed.mEnd == late.mFeed.mEnd);
+    }
+    FeedPush older{ kTopic, {}, node.mFeed.mEnd, false, Duration(0), {} };
+    older.mRevision = 1;
+    Effects answers = peer.Receive(kStart, node.mId, older);
+    CHECK(!answers.empty());
+    FeedPush answer = PushOf(answers);
+    Effects effects = node.Receive(kStart, peer.mId, answer);
+    const auto& pull =
+      std::get<FeedPull>(std::get<SendToPeer>(effects.front()).mMessage);
+    FeedPush copy = PushOf(peer.Receive(kStart, node.mId, pull));
+    node.Receive(kStart, peer.mId, copy);
+    LONGS_EQUAL(2, node.mFeed.mRevision);
+    STRCMP_EQUAL("2", node.Entries()["head"].c_str());
+    CHECK(node.mFeed.mEnd == restored.mEnd);
+  }
+}
+
 /** Nodes that have other entries at one revision stayed so until the entries
  * changed, whatever the reason. */
 TEST(Copies, OfOneRevisionThatDifferAreReadAgain)
