Send a whole copy to a node that has none of the era

A node that asks for a copy of a new era states the era's start as its end. If the topic was empty at first, the peer answered with the changes since, and the node kept what the restored store has lost, asking again every 200 ms. The start of an era now stands for no copy. The new test failed before.

--- a/src/FeedExchange.cpp
+++ b/src/FeedExchange.cpp
@@ -206,15 +206,16 @@
   }
   FeedPush push = MakePush(aState, aContext.mNow);
   bool isPageRequest = !aPull.mPageAfter.empty();
-  if (!isPageRequest && aPull.mEnd != StorePosition() &&
-      aPull.mEnd == aState.mEnd) {
+  // The start of an era stands for no copy of it.
+  bool hasCopy = aPull.mEnd.mOffset > 0;
+  if (!isPageRequest && hasCopy && aPull.mEnd == aState.mEnd) {
     push.mAfter = aState.mEnd;
     aContext.mEffects.push_back(SendToPeer{ aFrom, std::move(push) });
     return;
   }
   auto delta = FirstDeltaAfter(
     aState.mRecentDeltas, aState.mSettings.mHasWholeRecords, aPull.mEnd);
-  if (isPageRequest || delta == aState.mRecentDeltas.end()) {
+  if (isPageRequest || !hasCopy || delta == aState.mRecentDeltas.end()) {
     FeedPush page = MakePage(aState.mEntries,
                              aState.mPendingRemovals,
                              aPull.mPageAfter,
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -353,6 +353,29 @@
   LONGS_EQUAL(1, node.mFeed.mEntries.count("a"));
 }
 
+/** A node asked for a copy of an era whose topic was empty at first, and got
+ * the changes since: it kept what the restored store has lost. */
+TEST(KeyedFeeds, AreSentWholeToNodesWithoutACopyOfTheEra)
+{
+  FeedNode node;
+  node.mFeed.mSettings.mMaxRecentEntries = 8;
+  FeedReadResult empty = FullRead(0, {});
+  empty.mEnd = { 1, 0 };
+  node.Read(kStart, empty);
+  FeedReadResult change = DeltaRead(0, { { "a", { 1, 0 }, "A" } });
+  change.mEnd = { 1, 1 };
+  node.mFeed.mIsFullRead = false;
+  node.mFeed.mReadFrom = { 1, 0 };
+  node.Read(kStart, change);
+  Effects effects;
+  FeedReceive(node.mFeed,
+              { kStart, node.mMembers, node.mRandom, effects },
+              NodeId("peer"),
+              FeedPull{ "targets", { 1, 0 }, true, "" });
+  const auto& reply = std::get<SendToPeer>(effects.front());
+  CHECK(std::get<FeedPush>(reply.mMessage).mIsSnapshot);
+}
+
 /** Guards against a copy whose content differs from its peers' although it ends
  * at the same offset: the digests are what tells them apart in the log. */
 TEST(KeyedFeeds, HaveTheDigestOfTheirContent)
