End a copy whose pages are of two eras

After a restore the source of a copy leaves out the targets that the store has lost. A copy whose later pages came after that was taken for one of the earlier era, and these targets went out of use at once, without the grace period. Found in review; EndIfTheStoreIsRestoredBetweenTwoPages failed before.

--- a/src/FeedCopy.cpp
+++ b/src/FeedCopy.cpp
@@ -47,7 +47,8 @@
   } else if (!aCopy || aCopy->mSource != aFrom ||
              aCopy->mLastKey != aPage.mPageAfter) {
     return false;
-  } else if (aCopy->mRevision != aPage.mRevision) {
+  } else if (aCopy->mRevision != aPage.mRevision ||
+             aCopy->mEnd.mEra != aPage.mEnd.mEra) {
     aCopy.reset();
     return false;
   }
--- a/src/FeedCopy.h
+++ b/src/FeedCopy.h
@@ -44,7 +44,8 @@
 
 /** Adds a page from aFrom to the copy that is being received, or starts a new
  * copy with a first page. Returns whether the copy is complete. A page that
- * does not continue the copy is ignored; one of another revision ends it. */
+ * does not continue the copy is ignored; one of another revision or era ends
+ * it: after a restore the source leaves out what the store has lost. */
 bool
 AddPage(std::optional<FeedCopy>& aCopy,
         TimePoint aNow,
--- a/test/correctness/FeedCopiesAndTreesReachAll.cpp
+++ b/test/correctness/FeedCopiesAndTreesReachAll.cpp
@@ -130,6 +130,23 @@
   STRCMP_EQUAL("new", node.mFeed.mEntries.at("i-10000").mValue.c_str());
 }
 
+/** A copy with pages of two eras lacks what the restored store has lost, which
+ * was removed at once. */
+TEST(FeedCopies, EndIfTheStoreIsRestoredBetweenTwoPages)
+{
+  FeedNode source("source:1");
+  FeedNode node("node:1");
+  source.Receive(kStart, MakeRead(kEntries, MakeEntries(), true));
+  FeedPull pull{ "targets", { 0, 0 }, true, "" };
+  Effects effects = node.Receive(
+    kStart, source.mId, PushOf(source.Receive(kStart, node.mId, pull)));
+  source.mFeed.mEnd = { 1, kEntries };
+  FeedPush page = PushOf(source.Receive(kStart, node.mId, PullOf(effects)));
+  CHECK(page.mIsSnapshot && !page.mPageAfter.empty());
+  LONGS_EQUAL(0, node.Receive(kStart, source.mId, page).size());
+  CHECK(!node.mFeed.mCopy);
+}
+
 TEST(FeedCopies, AreWholeForPeersThatAcceptNoPages)
 {
   FeedNode source("source:1");
