Read a conflict of a new era at once

Nodes with two contents of one revision read the store at most every 30 s. If the operator wrote the revision again with other content after a restore, nodes that had had a conflict shortly before refused the confirmations of their zone until their copy was stale. Found in review; OfOneRevisionInTwoErasAreReadAtOnce failed before.

--- a/src/FeedComparison.cpp
+++ b/src/FeedComparison.cpp
@@ -74,7 +74,9 @@
                const NodeId& aFrom,
                const FeedPush& aPush)
 {
-  if (aContext.mNow < aState.mNextConflictReadAt) {
+  // A restored store may have the revision with other content.
+  bool isOfLaterEra = aPush.mEnd.mEra > aState.mEnd.mEra;
+  if (!isOfLaterEra && aContext.mNow < aState.mNextConflictReadAt) {
     return;
   }
   aState.mNextConflictReadAt = aContext.mNow + kConflictReadInterval;
--- a/test/correctness/CopiesReplaceEarlierRevisions.cpp
+++ b/test/correctness/CopiesReplaceEarlierRevisions.cpp
@@ -423,6 +423,26 @@
   }
 }
 
+/** After a conflict, nodes read the store again at most every 30 s, also if a
+ * restored store has the revision with other content. */
+TEST(Copies, OfOneRevisionInTwoErasAreReadAtOnce)
+{
+  FeedNode node("node");
+  node.Receive(kStart, MakeRead({ { 1, { { "head", "1" } } } }));
+  FeedPush other{ kTopic, { 0, 1 }, { 0, 1 }, false, Duration(0), {} };
+  other.mRevision = 1;
+  other.mDigest = node.mFeed.mDigest + 1;
+  node.Receive(kStart, NodeId("peer"), other);
+  CHECK(node.mFeed.mHasConflict);
+  node.Receive(kStart, MakeRead({ { 1, { { "head", "1" } } } }));
+  CHECK(!node.mFeed.mHasConflict);
+  node.Receive(kStart, NodeId("peer"), other);
+  CHECK(!node.mFeed.mHasConflict);
+  other.mEnd.mEra = 1;
+  node.Receive(kStart, NodeId("peer"), other);
+  CHECK(node.mFeed.mHasConflict);
+}
+
 /** Nodes that have other entries at one revision stayed so until the entries
  * changed, whatever the reason. */
 TEST(Copies, OfOneRevisionThatDifferAreReadAgain)
