Keep missing targets for the whole grace period of the last restore

A second restore within the grace period did not extend it, and a target that the second copy had again went out of use nevertheless, if a later entry of it was known. Found in review; KeepMissingEntriesOverASecondRestore failed before.

--- a/src/FeedContent.cpp
+++ b/src/FeedContent.cpp
@@ -132,7 +132,10 @@
   }
   std::vector<FeedEntry> changes;
   for (const FeedEntry& it : aEntries) {
-    if (ApplyEntry(aState, aNow, it, aSource) ||
+    // What the store has is not missing, even if a later entry is known.
+    bool isRestored =
+      !it.mValue.empty() && aState.mPendingRemovals.erase(it.mKey) > 0;
+    if (ApplyEntry(aState, aNow, it, aSource) || isRestored ||
         IsWrittenSinceEnd(aState, it)) {
       changes.push_back(it);
     }
--- a/src/FeedProgress.cpp
+++ b/src/FeedProgress.cpp
@@ -67,6 +67,9 @@
 {
   if (aState.mIsLoaded && aEnd.mEra > aState.mEnd.mEra) {
     aState.mOutageEndedAt = aNow;
+    for (auto& [key, until] : aState.mPendingRemovals) {
+      until = aNow + aState.mSettings.mOutageGracePeriod;
+    }
   }
 }
 
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -1,3 +1,5 @@
+#include "EventNumbers.h"
+#include "FeedContent.h"
 #include "KeyedFeed.h"
 
 #include <CppUTest/TestHarness.h>
@@ -376,6 +378,54 @@
   CHECK(std::get<FeedPush>(reply.mMessage).mIsSnapshot);
 }
 
+/** Targets went out of use because a second restore found them missing again,
+ * or had them again, within the grace period of the first one. */
+TEST(KeyedFeeds, KeepMissingEntriesOverASecondRestore)
+{
+  FeedNode node;
+  auto restore =
+    [&](TimePoint aNow, std::uint64_t aEra, std::vector<FeedEntry> aEntries) {
+      FeedReadResult read = FullRead(1, std::move(aEntries));
+      read.mEnd.mEra = aEra;
+      node.mFeed.mIsFullRead = true;
+      node.Read(aNow, read);
+    };
+  FeedEntry missing{ "a", { 1, 1 }, "A", { 90, 7 } };
+  FeedEntry back{ "b", { 1, 2 }, "B", { 90, 7 } };
+  restore(kStart, 1, { missing, back });
+  restore(kStart + seconds(1), 2, {});
+  back.mPosition = { 3, 0 };
+  back.mOrder.mSequence = 6;
+  restore(kStart + seconds(3), 3, { back });
+  RemoveExpiredEntries(node.mFeed, kStart + milliseconds(3300));
+  LONGS_EQUAL(1, node.mFeed.mEntries.count("a"));
+  RemoveExpiredEntries(node.mFeed, kStart + milliseconds(5300));
+  LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
+  LONGS_EQUAL(1, node.mFeed.mEntries.count("b"));
+}
+
+/** One late answer of an earlier era was taken for a store that is lost. */
+TEST(KeyedFeeds, IgnoreALateAnswerOfAnEarlierEra)
+{
+  FeedNode node;
+  FeedReadResult restored = FullRead(2, { { "a", { 2, 1 }, "A2" } });
+  restored.mEnd.mEra = 2;
+  node.Read(kStart, restored);
+  FeedReadResult late = FullRead(9, { { "a", { 1, 8 }, "A1" } });
+  late.mEnd.mEra = 1;
+  TimePoint lateAt = kStart + milliseconds(500);
+  Effects effects = node.Read(lateAt, late);
+  LONGS_EQUAL(1, effects.size());
+  LONGS_EQUAL(kEventStoreEraIgnored,
+              std::get<WriteEvent>(effects.front()).mNumber);
+  CHECK(node.mFeed.mEnd == restored.mEnd);
+  CHECK(node.mFeed.mFreshAt == kStart);
+  STRCMP_EQUAL("A2", node.mFeed.mEntries["a"].mValue.c_str());
+  LONGS_EQUAL(0, node.mFeed.mFailedReads);
+  node.Read(lateAt + milliseconds(200), late);
+  LONGS_EQUAL(1, node.mFeed.mFailedReads);
+}
+
 /** Guards against a copy whose content differs from its peers' although it ends
  * at the same offset: the digests are what tells them apart in the log. */
 TEST(KeyedFeeds, HaveTheDigestOfTheirContent)
