Don't take one late answer for a store that is lost

An answer of an earlier era wrote StoreLost and delayed the next read by up to 6 s at a node that is not its zone's reader. A record with a revision below the one that is kept writes RecordSkipped with both revisions, so that a fleet which is ahead of its store can be told apart from one that is behind.

--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -101,19 +101,28 @@
 /** Applies the entries of a read and returns the changes to the copy. Entries
  * of a revision below the copy's are skipped. */
 std::vector<FeedEntry>
-ApplyRead(KeyedFeedState& aState, TimePoint aNow, const FeedReadResult& aRead)
+ApplyRead(KeyedFeedState& aState,
+          const FeedContext& aContext,
+          const FeedReadResult& aRead)
 {
   if (!aRead.mIsSnapshot) {
-    return ApplyEntries(aState, aNow, aRead.mEntries, EntrySource::Store);
+    return ApplyEntries(
+      aState, aContext.mNow, aRead.mEntries, EntrySource::Store);
   }
   bool isOldRevision = aState.mIsLoaded && aState.mSettings.mHasWholeRecords &&
                        aRead.mRevision < aState.mRevision;
   if (isOldRevision) {
+    aContext.mEffects.push_back(WriteEvent{
+      kEventRecordSkipped,
+      "topic=" + aState.mSettings.mTopic +
+        " end=" + FormatPosition(aRead.mEnd) +
+        " outcome=older revision=" + std::to_string(aRead.mRevision) +
+        " kept=" + std::to_string(aState.mRevision) });
     return {};
   }
   aState.mRevision = aRead.mRevision;
   return ApplySnapshot(
-    aState, aNow, aRead.mEnd, aRead.mEntries, EntrySource::Store);
+    aState, aContext.mNow, aRead.mEnd, aRead.mEntries, EntrySource::Store);
 }
 
 /** Returns the latest time at which the store is known to have held what a read
@@ -188,9 +197,16 @@
       kEventStoreEraIgnored,
       "topic=" + aState.mSettings.mTopic + " era=" + std::to_string(era) +
         " end=" + FormatPosition(aState.mEnd) });
-    RecordReadFailure(aState, aContext);
+    // One answer may be late. More of them come from a part of the store that
+    // has not been restored, which is of no more use than one that fails.
+    if (++aState.mEarlierAnswers > 1) {
+      RecordReadFailure(aState, aContext);
+    } else {
+      aState.mNextReadAt = aContext.mNow + kInitialRetryDelay;
+    }
     return true;
   }
+  aState.mEarlierAnswers = 0;
   bool isUsable =
     !aState.mIsLoaded || aState.mIsFullRead || era == aState.mReadFrom.mEra;
   if (!isUsable) {
@@ -270,7 +286,7 @@
                             : ConfirmedAt(aState, aContext.mNow, aRead);
   RecordFreshness(aState, aContext.mNow, confirmedAt, NodeId());
   std::uint64_t outdatedBefore = aState.mOutdatedEntries;
-  std::vector<FeedEntry> changes = ApplyRead(aState, aContext.mNow, aRead);
+  std::vector<FeedEntry> changes = ApplyRead(aState, aContext, aRead);
   if (aState.mOutdatedEntries > outdatedBefore) {
     aContext.mEffects.push_back(WriteEvent{
       kEventOutdatedEntries,
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -111,6 +111,8 @@
   /** The membership version that mReaderRank was computed from. */
   std::uint64_t mRankedMembersVersion = 0;
   unsigned mConsecutiveFailures = 0;
+  /** The number of reads in a row that were answered by an earlier era. */
+  unsigned mEarlierAnswers = 0;
   /** Keys whose removal is deferred because of an outage, with the time at
    * which they are removed. */
   std::map<std::string, TimePoint> mPendingRemovals;
