Ask other zones for a later revision after a first read of the store

If all nodes of a zone started after a restore, they served the store's older record until the operator wrote again, while other zones served a later revision: pushes stay in a zone. A node whose first copy is from the store now sends two requests to other zones, which state its revision; a node with a later one answers although its copy ends earlier. Found in review; BringALostRevisionFromOtherZones failed before (no request).

--- a/src/FeedExchange.cpp
+++ b/src/FeedExchange.cpp
@@ -201,14 +201,17 @@
             const NodeId& aFrom,
             const FeedPull& aPull)
 {
-  if (!aState.mIsLoaded || aState.mEnd < aPull.mEnd) {
+  bool hasLaterRevision =
+    aState.mSettings.mHasWholeRecords && aState.mRevision > aPull.mRevision;
+  bool isBehind = aState.mEnd < aPull.mEnd;
+  if (!aState.mIsLoaded || (isBehind && !hasLaterRevision)) {
     return;
   }
   FeedPush push = MakePush(aState, aContext.mNow);
   bool isPageRequest = !aPull.mPageAfter.empty();
   // The start of an era stands for no copy of it.
   bool hasCopy = aPull.mEnd.mOffset > 0;
-  if (!isPageRequest && hasCopy && aPull.mEnd == aState.mEnd) {
+  if (!isPageRequest && hasCopy && aPull.mEnd >= aState.mEnd) {
     push.mAfter = aState.mEnd;
     aContext.mEffects.push_back(SendToPeer{ aFrom, std::move(push) });
     return;
--- a/src/FeedMessages.h
+++ b/src/FeedMessages.h
@@ -83,7 +83,7 @@
 
 /** Requests the entries of a keyed topic that changed after mEnd, or a copy of
  * all if the peer does not know which these are. A peer that has read less than
- * mEnd ignores it. */
+ * mEnd ignores it, unless it has a later revision. */
 struct FeedPull
 {
   std::string mTopic;
@@ -92,7 +92,14 @@
   bool mAcceptsPages = false;
   /** Requests the page of a copy after this key; empty for the first one. */
   std::string mPageAfter{};
-  MSGPACK_DEFINE(mTopic, mEnd.mOffset, mAcceptsPages, mPageAfter, mEnd.mEra)
+  /** The revision of the sender's copy, if the topic has revisions. */
+  std::uint64_t mRevision = 0;
+  MSGPACK_DEFINE(mTopic,
+                 mEnd.mOffset,
+                 mAcceptsPages,
+                 mPageAfter,
+                 mEnd.mEra,
+                 mRevision)
 };
 
 } // namespace vanillascale
--- a/src/FeedRequests.cpp
+++ b/src/FeedRequests.cpp
@@ -25,7 +25,7 @@
 FeedPull
 MakePull(const KeyedFeedState& aState)
 {
-  return { aState.mSettings.mTopic, aState.mEnd, true, "" };
+  return { aState.mSettings.mTopic, aState.mEnd, true, "", aState.mRevision };
 }
 
 FeedPush
@@ -101,7 +101,9 @@
                aState.mConsecutiveFailures > 0 &&
                aContext.mNow - aState.mFreshAt >= waitForZone &&
                aContext.mNow >= aState.mNextPullAt;
-  if (!isDue) {
+  bool isFirstCheck = aState.mIsLoaded && aState.mRevisionChecks > 0 &&
+                      aContext.mNow >= aState.mNextPullAt;
+  if (!isDue && !isFirstCheck) {
     return;
   }
   const MembershipState& members = aContext.mMembers;
@@ -115,7 +117,9 @@
     }
   }
   if (!peers.empty()) {
-    aState.mNextPullAt = aContext.mNow + kOtherZonePullInterval;
+    aState.mNextPullAt =
+      aContext.mNow + (isDue ? kOtherZonePullInterval : kPullInterval);
+    aState.mRevisionChecks -= isFirstCheck ? 1 : 0;
     const NodeId& peer = peers[RandomBelow(aContext.mRandom, peers.size())];
     aContext.mEffects.push_back(SendToPeer{ peer, MakePull(aState) });
   }
--- a/src/FeedRequests.h
+++ b/src/FeedRequests.h
@@ -53,8 +53,10 @@
 
 /** Requests the changes from a random node of another zone if the store does
  * not answer this node and its zone has not read it either: the store may
- * answer the nodes of other zones. Only for topics with whole records, which
- * change so rarely that the answer is mostly empty. */
+ * answer the nodes of other zones; or if this node has loaded its first copy
+ * from the store, which may have lost a revision that others serve. Only for
+ * topics with whole records, which change so rarely that the answer is mostly
+ * empty. */
 void
 RequestChangesFromOtherZone(KeyedFeedState& aState,
                             const FeedContext& aContext);
--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -20,6 +20,9 @@
  * receive a push if the ranked ones could read, and together these nodes would
  * press a store that is down with the more calls the larger the fleet is. */
 constexpr Duration kUnrankedRetryDelay = milliseconds(4000);
+/** The number of nodes of other zones that a node asks for a later revision
+ * after its first read; one of them may have started as well. */
+constexpr unsigned kRevisionChecks = 2;
 constexpr Duration kInitialRetryDelay = milliseconds(200);
 /** Limits the exponential backoff between reads that fail. */
 constexpr unsigned kMaxRetryDoublings = 3;
@@ -306,6 +309,7 @@
   // The first read of a node is not pushed: the other nodes load a copy of
   // their own when they start.
   if (!wasLoaded) {
+    aState.mRevisionChecks = hasWholeRecords ? kRevisionChecks : 0;
     return;
   }
   FeedPush push = MakePush(aState, aContext.mNow);
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -103,6 +103,9 @@
    * that era. */
   NodeId mLaterEraPeer;
   StorePosition mLaterEra{};
+  /** The number of requests to other zones that are left to find out whether
+   * they serve a later revision than the first copy of this node. */
+  unsigned mRevisionChecks = 0;
   /** The number of copies that were requested. */
   unsigned mCopyPulls = 0;
   /** This node's rank among the readers of its zone; 0 is the reader, and the
--- a/test/correctness/CopiesReplaceEarlierRevisions.cpp
+++ b/test/correctness/CopiesReplaceEarlierRevisions.cpp
@@ -423,6 +423,42 @@
   }
 }
 
+/** All nodes of a zone started after a restore and served the store's older
+ * record, while other zones served a later revision. */
+TEST(Copies, BringALostRevisionFromOtherZones)
+{
+  std::vector<Record> records{ { 1, { { "head", "1" } } },
+                               { 2, { { "head", "2" } } } };
+  FeedNode peer("peer");
+  peer.Receive(kStart, MakeRead(records));
+  records.pop_back();
+  FeedReadResult restored = MakeRead(records);
+  restored.mEnd.mEra = 1;
+  FeedNode node("node");
+  Ping ping;
+  ping.mUpdates.push_back(
+    { peer.mId, ZoneName("other"), 1, MemberStatus::Alive });
+  Effects ignored;
+  MembershipReceive(node.mMembers, kStart, peer.mId, ping, ignored);
+  node.Receive(kStart, restored);
+  Effects effects;
+  FeedTick(node.mFeed, { kStart, node.mMembers, node.mRandom, effects });
+  FeedPull pull;
+  for (const Effect& it : effects) {
+    if (const auto* send = std::get_if<SendToPeer>(&it)) {
+      CHECK(send->mTo == peer.mId);
+      pull = std::get<FeedPull>(send->mMessage);
+    }
+  }
+  LONGS_EQUAL(1, pull.mRevision);
+  FeedPush answer = PushOf(peer.Receive(kStart, node.mId, pull));
+  TimePoint later = kStart + milliseconds(300);
+  effects = node.Receive(later, peer.mId, answer);
+  pull = std::get<FeedPull>(std::get<SendToPeer>(effects.front()).mMessage);
+  node.Receive(later, peer.mId, PushOf(peer.Receive(later, node.mId, pull)));
+  LONGS_EQUAL(2, node.mFeed.mRevision);
+}
+
 /** After a conflict, nodes read the store again at most every 30 s, also if a
  * restored store has the revision with other content. */
 TEST(Copies, OfOneRevisionInTwoErasAreReadAtOnce)
