--- a/test/correctness/ErasOfTheStoreAreRead.cpp
+++ b/test/correctness/ErasOfTheStoreAreRead.cpp
@@ -406,3 +406,17 @@
     CheckEntries(run.mResult, { "i-b@3/6" });
   }
 }
+
+/** Guards against a full read without an end, and calls without a pause, while
+ * machines of the store answer in turn with different eras. */
+TEST(StoreEras, ThatKeepChangingBetweenPagesFailTheRead)
+{
+  std::vector<std::string> answers;
+  for (int i = 0; i < 20; ++i) {
+    answers.push_back(MakePage("3", 20, { { "i-a", 4, kWorker } }, true));
+    answers.push_back(MakePage("4", 20, { { "i-b", 4, kWorker } }, true));
+  }
+  ReadRun run = RunRead(ReadAll(kTargetTopic), std::move(answers));
+  CheckIsFailed(run, "3 and 4");
+  LONGS_EQUAL(4, run.mRequests.size());
+}
