--- a/daemons/CheckCommand.cpp
+++ b/daemons/CheckCommand.cpp
@@ -144,10 +144,10 @@
     AddNotCompared(aReport, snapshot.error());
     return view;
   }
-  view.mInForce =
-    Baseline{ std::move(snapshot->mDocument),
-              "position " + FormatPosition(snapshot->mPosition) + " of the store",
-              false };
+  view.mInForce = Baseline{ std::move(snapshot->mDocument),
+                            "position " + FormatPosition(snapshot->mPosition) +
+                              " of the store",
+                            false };
   view.mVms = std::move(snapshot->mVms);
   return view;
 }
