Test restores with a cut-off node, late, slow and missing answers of the store

The drill gets options for nodes without the store, late answers at one port, restores in a row, slow answers and a dropped history, mixes of them by seed, nodes of an older build, and a port base. A thread probes all nodes, so that a node that goes back between two checks is seen.

--- a/test/support/drill.py
+++ b/test/support/drill.py
@@ -5,12 +5,17 @@
                                       node, if a node goes back to an older one, or if
                                       requests reach a worker that has left
 
+The store can fail in other ways around a restore, see the options. A thread probes all
+nodes meanwhile: the version that is seen at a node never falls. With --old-nodes, the
+checks apply to the other nodes only.
+
 Each version adds a route and moves another one, so that an answer shows by which
 version a request was handled. The operator and the workers write again what the store
 has lost. All addresses are loopback addresses; all processes are ended by their ids.
 """
 
 import argparse
+import concurrent.futures
 import http.client
 import random
 import sys
@@ -20,6 +25,7 @@
 import urllib.request
 
 import storm
+import store_port
 
 CONFIG_BOUND_S = 2.0
 LEAVING_BOUND_S = 2.0
@@ -85,11 +91,67 @@
 
 class Checks:
     def __init__(self):
+        self.start = time.monotonic()
         self.faults = []
+        self.events = []
         self.requests = 0
+        self.lock = threading.Lock()
+
+    def note(self, text):
+        """Notes an event with its time, for the reader of a failed run."""
+        moment = time.monotonic() - self.start
+        self.events.append(f"{moment:7.2f} s, wall_ms={int(time.time() * 1000)}: {text}")
 
     def fail(self, text):
-        self.faults.append(text)
+        with self.lock:
+            self.faults.append(f"{time.monotonic() - self.start:.2f} s: {text}")
+
+    def count(self):
+        with self.lock:
+            self.requests += 1
+
+
+class Probe(threading.Thread):
+    """Asks all nodes in turn and checks that the version seen at a node never falls.
+
+    The route /vN/ shows whether a node has version N, and the service that answers
+    /moved/ shows whether its version is odd or even. This guards against a node that
+    goes back for a moment between two checks."""
+
+    def __init__(self, nodes, checks, stopped):
+        super().__init__(daemon=True)
+        self.nodes = nodes
+        self.checks = checks
+        self.stopped = stopped
+        self.seen = [0] * len(nodes)
+        self.rounds = 0
+
+    def run(self):
+        while not self.stopped.wait(0.01):
+            for i in range(len(self.nodes)):
+                if not self.stopped.is_set():
+                    self.probe(i)
+            self.rounds += 1
+
+    def get(self, i, path):
+        self.checks.count()
+        return get(self.nodes[i], path)
+
+    def probe(self, i):
+        before = self.seen[i]
+        if before and self.get(i, f"/v{before}/x")[0] == 404:
+            self.checks.fail(
+                f"probe: node {self.nodes[i].index} went back, it has served version {before}"
+            )
+        status, service = self.get(i, "/moved/x")
+        while self.get(i, f"/v{self.seen[i] + 1}/x")[0] == 200:
+            self.seen[i] += 1
+        possible = {storm.SERVICES[it % 2] for it in range(before, self.seen[i] + 1)}
+        if before and status == 200 and service not in possible:
+            self.checks.fail(
+                f"probe: node {self.nodes[i].index} served /moved/ by {service}, its version is "
+                f"{before} to {self.seen[i]}"
+            )
 
 
 def get(node, path):
@@ -106,16 +168,21 @@
 
 
 def check_version(nodes, version, checks, what):
-    """Checks that each node serves by a version, and none by an older one."""
-    for i, node in enumerate(nodes):
+    """Checks that each node serves by a version, and none by an older one. Asks all
+    nodes at about the same time, so that a slow one does not defer the others."""
+
+    def check(i):
         for path, wanted in (
             (f"/v{version}/x", "old"),
             ("/moved/x", storm.SERVICES[version % 2]),
         ):
-            status, body = get(node, path)
-            checks.requests += 1
+            status, body = get(nodes[i], path)
+            checks.count()
             if status != 200 or body != wanted:
-                checks.fail(f"{what}: node {i} answers {path} with {status} {body!r}")
+                checks.fail(f"{what}: node {nodes[i].index} answers {path} with {status} {body!r}")
+
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        list(pool.map(check, range(len(nodes))))
 
 
 def wait_for_version(nodes, version, limit):
@@ -143,85 +210,168 @@
 
 def check_version_in_time(nodes, operator, version, checks, what):
     operator.publish(version)
+    checks.note(f"{what}: version {version} is acknowledged")
     time.sleep(CONFIG_BOUND_S)
     check_version(nodes, version, checks, what)
 
 
-def play(options, nodes, stores, workers, lock, checks, rng):
-    operator = Operator()
-    for version in range(1, 6):
-        operator.publish(version)
-        time.sleep(0.1)
-    if not wait_for_version(nodes, operator.version, 30):
-        checks.fail("the fleet did not start")
-        return
-    time.sleep(1.5)
-    for turn in range(options.drills):
-        what = f"drill {turn + 1}"
+class Fleet:
+    """The nodes that are checked, the ports of the store, the workers and the operator."""
+
+    def __init__(self, options, nodes, stores, workers, lock, checks, rng):
+        self.options = options
+        self.nodes = nodes
+        self.stores = stores
+        self.workers = workers
+        self.lock = lock
+        self.checks = checks
+        self.rng = rng
+        self.operator = Operator()
+
+    def cut(self):
+        if self.options.cut and not self.stores[2].is_refusing:
+            self.stores[2].refuse()
+            self.checks.note("the third port of the store refuses")
+
+    def mend(self):
+        if self.stores[2].is_refusing:
+            self.stores[2].open()
+            self.checks.note("the third port of the store is back")
+
+    def write_past_old_end(self):
+        """Writes new records that pass the old end before a node reads."""
+        for _ in range(self.options.lost * len(self.workers)):
+            self.workers[-1].write()
+
+    def restore(self, what, write):
+        """Restores the store, some times in a row, each time followed by a write of the
+        workers. Holds the lock, so that no other record is written in between."""
+        for turn in range(self.options.restores):
+            if turn:
+                if self.rng.random() < 0.5:
+                    self.operator.publish(self.operator.version + 1)
+                    self.checks.note(f"{what}: version {self.operator.version}, to be lost")
+                time.sleep(self.rng.uniform(0.1, 0.9))
+            elif self.options.late_answers:
+                self.stores[1].answer_late(self.options.late_answers)
+                self.checks.note(f"{what}: the second port keeps the old content")
+            drill(self.options.lost)
+            self.checks.note(f"{what}: restored, {self.options.lost} records are lost")
+            for it in self.stores:
+                it.has_dropped_history = self.options.dropped_history
+            write()
+
+    def play_drill(self, what):
+        options, nodes, operator = self.options, self.nodes, self.operator
         known = operator.version
-        for it in stores:
+        for it in self.stores:
             it.is_away = options.away > 0
+            it.delay = options.slow
         time.sleep(options.away)
-        with lock:
-            drill(options.lost)
+
+        def write():
             if options.gap:
-                # The new records pass the old end before a node reads.
-                for _ in range(options.lost * len(workers)):
-                    workers[-1].write()
+                self.write_past_old_end()
             if not options.silent:
-                for it in workers:
+                for it in self.workers:
                     it.write()
-        for it in stores:
+
+        with self.lock:
+            self.restore(what, write)
+        for it in self.stores:
             it.is_away = False
         if options.late_nodes:
             time.sleep(0.2)
-            for it in rng.sample(nodes, options.late_nodes):
+            for it in self.rng.sample(nodes, options.late_nodes):
                 it.kill()
                 it.start()
+                self.checks.note(f"{what}: node {it.index} starts again")
         time.sleep(0.5)
-        check_version_kept(nodes, known, checks, what + ", before the operator writes")
-        for version in range(max(1, known - options.again + 1), known + 1):
+        check_version_kept(nodes, known, self.checks, what + ", before the operator writes")
+        last = operator.version
+        for version in range(max(1, last - options.again + 1), last + 1):
             operator.publish(version)
         if options.late_nodes:
             wait_for_version(nodes, 1, 10)
         for _ in range(options.changes):
-            check_version_in_time(nodes, operator, operator.version + 1, checks, what)
-    leaving = workers[0]
-    with lock:
-        drill(options.lost)
-        for it in workers:
-            it.is_silent = options.silent or it is leaving
-        leaving.state = "draining"
-        leaving.write()
-        if options.gap:
-            for _ in range(options.lost * len(workers)):
-                workers[-1].write()
-    left = time.monotonic()
-    end = left + LEAVING_BOUND_S + 2
-    while time.monotonic() < end:
-        for node in nodes:
-            get(node, "/v1/x")
-    late = [it - left for it in leaving.server.reached if it > left + LEAVING_BOUND_S]
-    if late:
-        checks.fail(f"{len(late)} requests reached a worker that had left, up to {max(late):.1f} s late")
+            check_version_in_time(nodes, operator, last + 1, self.checks, what)
+            last += 1
+        for it in self.stores:
+            it.delay = 0
+
+    def play_leaving(self):
+        options = self.options
+        leaving = self.workers[0]
+        for it in self.stores:
+            it.delay = options.slow
+
+        def write():
+            for it in self.workers:
+                it.is_silent = options.silent or it is leaving
+            leaving.state = "draining"
+            leaving.write()
+            if options.gap:
+                self.write_past_old_end()
+
+        with self.lock:
+            self.restore("leaving", write)
+        left = time.monotonic()
+        self.checks.note("the worker's leaving is acknowledged")
+        end = left + LEAVING_BOUND_S + 2 + options.late_answers
+        while time.monotonic() < end:
+            for node in self.nodes:
+                get(node, "/v1/x")
+        late = [it - left for it in leaving.server.reached if it > left + LEAVING_BOUND_S]
+        if late:
+            self.checks.fail(
+                f"{len(late)} requests reached a worker that had left, up to "
+                f"{max(late):.1f} s late"
+            )
+
+
+def play(fleet):
+    options, checks, operator = fleet.options, fleet.checks, fleet.operator
+    for version in range(1, 6):
+        operator.publish(version)
+        time.sleep(0.1)
+    if not wait_for_version(fleet.nodes, operator.version, 30):
+        checks.fail("the fleet did not start")
+        return
+    time.sleep(1.5)
+    stopped = threading.Event()
+    probe = Probe(fleet.nodes, checks, stopped)
+    probe.start()
+    for turn in range(options.drills):
+        fleet.cut()
+        fleet.play_drill(f"drill {turn + 1}")
+        if options.cut and (turn % 2 or turn + 1 == options.drills):
+            fleet.mend()
+            what = f"drill {turn + 1}, with the third port back"
+            check_version_in_time(fleet.nodes, operator, operator.version + 1, checks, what)
+    fleet.cut()
+    fleet.play_leaving()
+    stopped.set()
+    probe.join()
+    print(f"{probe.rounds} rounds of the probe")
 
 
 def check_version_kept(nodes, version, checks, what):
     """Checks that nodes which served a version still do; one that has started again may
     not be ready yet."""
-    for i, node in enumerate(nodes):
+    for node in nodes:
         status, body = get(node, f"/v{version}/x")
-        checks.requests += 1
+        checks.count()
         if status == 404:
-            checks.fail(f"{what}: node {i} went back, /v{version}/x has {status} {body!r}")
+            checks.fail(f"{what}: node {node.index} went back, /v{version}/x has {status} {body!r}")
 
 
-def main():
+def parse_options():
     parser = argparse.ArgumentParser()
     parser.add_argument("--daemon", required=True)
     parser.add_argument("--nodes", type=int, default=3)
     parser.add_argument("--zones", type=int, default=1)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--port-base", type=int, default=storm.PORT_BASE)
     parser.add_argument("--drills", type=int, default=1)
     parser.add_argument("--lost", type=int, default=3, help="records that each topic loses")
     parser.add_argument("--again", type=int, default=1, help="versions that are written again")
@@ -230,13 +380,62 @@
     parser.add_argument("--late-nodes", type=int, default=0, help="nodes that start again")
     parser.add_argument("--gap", action="store_true", help="new records pass the old end")
     parser.add_argument("--silent", action="store_true", help="workers lose their heartbeats")
+    parser.add_argument("--cut", type=int, default=0, help="nodes without the store, 2 drills long")
+    parser.add_argument(
+        "--late-answers", type=float, default=0, help="seconds of old answers at one port"
+    )
+    parser.add_argument("--restores", type=int, default=1, help="restores under 1 s apart")
+    parser.add_argument("--slow", type=float, default=0, help="seconds by which answers are late")
+    parser.add_argument("--dropped-history", action="store_true", help="only newest records stay")
+    parser.add_argument("--mixed", action="store_true", help="a mix of these by the seed")
+    parser.add_argument("--old-daemon", help="an older build; for runs by hand")
+    parser.add_argument("--old-nodes", type=int, default=0, help="nodes of the older build")
     parser.add_argument("--logs", help="a folder that keeps the logs")
     options = parser.parse_args()
+    if options.mixed:
+        mix_options(options)
+    return options
+
+
+def mix_options(options):
+    """Sets the faults of a run by its seed, each of them in about every third run."""
+    rng = random.Random(options.seed)
+
+    def maybe(value, default):
+        return value if rng.random() < 0.35 else default
+
+    options.lost = rng.randint(1, 6)
+    options.again = rng.randint(1, 3)
+    options.away = maybe(round(rng.uniform(0.1, 1.5), 1), 0)
+    options.late_nodes = maybe(rng.randint(1, 2), 0)
+    options.gap = maybe(True, False)
+    options.silent = maybe(True, False)
+    options.cut = maybe(rng.randint(1, 3), 0)
+    options.late_answers = maybe(round(rng.uniform(1, 4), 1), 0)
+    options.restores = maybe(rng.randint(2, 3), 1)
+    options.slow = maybe(0.3, 0)
+    options.dropped_history = maybe(True, False)
+    print("mixed:", " ".join(f"{name}={value}" for name, value in vars(options).items()))
+
+
+def start_nodes(options, rng, folder, nodes):
+    """Starts all nodes and returns those that are checked."""
+    old = rng.sample(range(options.nodes), options.old_nodes)
+    cut = rng.sample([it for it in range(options.nodes) if it not in old], options.cut)
+    if options.cut or options.old_nodes:
+        print(f"cut off: {sorted(cut)}, of the older build: {sorted(old)}")
+    for i in range(options.nodes):
+        daemon = options.old_daemon if i in old else options.daemon
+        port = storm.STORE_PORT + (2 if i in cut else i % 2)
+        nodes.append(storm.Node(options, i, folder, daemon, port))
+    return [it for i, it in enumerate(nodes) if i not in old]
+
+
+def main():
+    options = parse_options()
+    storm.use_ports(options.port_base)
     rng = random.Random(options.seed)
-    stores = [
-        storm.serve(("127.0.0.1", storm.STORE_PORT + i), storm.Store, is_away=False)
-        for i in range(2)
-    ]
+    stores = [store_port.StorePort(storm.STORE_PORT + i) for i in range(3)]
     workers = [Worker(i, it) for i, it in enumerate(("old", "old", "new", "new"))]
     lock = threading.Lock()
     stopped = threading.Event()
@@ -247,16 +446,18 @@
     with tempfile.TemporaryDirectory() as folder:
         nodes = []
         try:
-            for i in range(options.nodes):
-                nodes.append(storm.Node(options, i, options.logs or folder))
-            play(options, nodes, stores, workers, lock, checks, rng)
+            checked = start_nodes(options, rng, options.logs or folder, nodes)
+            play(Fleet(options, checked, stores, workers, lock, checks, rng))
         finally:
             stopped.set()
             for it in nodes:
                 it.kill()
-    for it in checks.faults[:12]:
+    for it in (checks.events if checks.faults else []) + checks.faults[:12]:
         print(it)
-    print("ok" if not checks.faults else "FAILED", f"{len(checks.faults)} faults in {checks.requests} requests")
+    print(
+        "ok" if not checks.faults else "FAILED",
+        f"{len(checks.faults)} faults in {checks.requests} requests",
+    )
     return 0 if not checks.faults else 1
 
 
--- a/test/support/storm.py
+++ b/test/support/storm.py
@@ -32,6 +32,14 @@
 STORE_PORT = 32000
 WORKER_PORT = 32100
 LISTEN, PEER, ADMIN = 32200, 32201, 32202
+PORT_BASE = STORE_PORT
+
+
+def use_ports(base):
+    """Moves all ports, so that two runs at a time share none."""
+    global STORE_PORT, WORKER_PORT, LISTEN, PEER, ADMIN
+    STORE_PORT, WORKER_PORT = base, base + 100
+    LISTEN, PEER, ADMIN = base + 200, base + 201, base + 202
 
 
 class Topic:
@@ -210,15 +218,17 @@
 
 
 class Node:
-    def __init__(self, options, index, folder):
+    def __init__(self, options, index, folder, daemon=None, store_port=None):
+        self.index = index
         self.address = f"127.1.0.{index + 1}"
+        store_port = store_port or STORE_PORT + index % 2
         self.log = open(f"{folder}/{index}.log", "ab")
-        self.command = [options.daemon, "--platform-api", "store"]
+        self.command = [daemon or options.daemon, "--platform-api", "store"]
         settings = {
             "listen": f"{self.address}:{LISTEN}",
             "peer": f"{self.address}:{PEER}",
             "admin": f"{self.address}:{ADMIN}",
-            "platform": f"127.0.0.1:{STORE_PORT + index % 2}",
+            "platform": f"127.0.0.1:{store_port}",
             "seeds": f"127.1.0.1:{PEER},127.1.0.2:{PEER}",
             "zone": f"z{index % options.zones}",
             "environment": "production",
