--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -25,6 +25,7 @@
   std::vector<Event> mDeferredEvents;
   std::uint64_t mSentBytes = 0;
   std::uint64_t mSentMessages = 0;
+  std::uint64_t mReceivedBytes = 0;
   /** When the link has sent and received all bytes so far, if its bandwidth is
    * limited. */
   TimePoint mSendFreeAt{};
@@ -257,20 +258,22 @@
     std::size_t to = IndexOf(aEffect.mTo);
     Envelope envelope{ node.mState.mOptions.mSelf,
                        std::move(aEffect.mMessage) };
-    if (mCountsSentBytes) {
-      node.mSentBytes += Encode("test", envelope).size();
-      ++node.mSentMessages;
+    std::size_t bytes = 0;
+    if (mCountsSentBytes || mLinkBytesPerSecond > 0) {
+      bytes = Encode("test", envelope).size();
     }
+    node.mSentBytes += mCountsSentBytes ? bytes : 0;
+    node.mSentMessages += mCountsSentBytes ? 1 : 0;
     if (to == SIZE_MAX || mIsLost(aFrom, to, envelope.mMessage)) {
       return;
     }
     Duration delay = mLinkDelay;
     if (mLinkBytesPerSecond > 0) {
-      std::size_t bytes = Encode("test", envelope).size();
       delay += std::max(Transfer(node.mSendFreeAt, bytes),
                         Transfer(mNodes[to]->mReceiveFreeAt, bytes));
     }
     if (delay < mMaxLinkDelay) {
+      mNodes[to]->mReceivedBytes += mCountsSentBytes ? bytes : 0;
       PostAfter(to, delay, PeerMessageReceived{ std::move(envelope) });
     }
   }
@@ -450,7 +453,8 @@
     [](std::size_t, const CancelAtTarget&) {};
   /** Whether cancellations have an effect. */
   bool mDeliversCancels = false;
-  /** Counts the messages that nodes send and their encoded size in bytes. */
+  /** Counts the messages that nodes send, and the encoded size in bytes of
+   * those that they send and receive. */
   bool mCountsSentBytes = false;
 
 private:
