Request the copy of a later era again after 50 ms, not 200

At 1,000 nodes a node that got a push of a later era asked the forwarder, which mostly had no copy yet, and waited 200 ms for the next try, at each level of the tree. 101 nodes, 94 of them without a rank, found their copy too old and read the whole topic from the store. A copy whose next page is late is given up, as by starting nodes: until then the first page of another source was ignored.

--- a/src/FeedRequests.cpp
+++ b/src/FeedRequests.cpp
@@ -8,7 +8,8 @@
 
 using std::chrono::milliseconds;
 
-/** Shorter for a node without a copy: most peers may not have one either. */
+/** Shorter for a node without a copy, or without one of the latest era: most
+ * peers may not have one either. */
 constexpr Duration kFirstPullInterval = milliseconds(50);
 /** The interval of requests to other zones while the store does not answer. */
 constexpr Duration kOtherZonePullInterval = milliseconds(1000);
@@ -86,9 +87,16 @@
 RequestCopyOfLaterEra(KeyedFeedState& aState, const FeedContext& aContext)
 {
   bool isBehind = aState.mIsLoaded && aState.mEnd.mEra < aState.mLaterEra.mEra;
-  if (isBehind) {
-    RequestChanges(aState, aContext, aState.mLaterEraPeer, aState.mLaterEra);
+  if (!isBehind || aContext.mNow < aState.mNextPullAt) {
+    return;
   }
+  // The next page of a copy is late. Its source may have stopped, and the first
+  // page of another source is ignored as long as the copy is being received.
+  aState.mCopy.reset();
+  RequestChanges(aState, aContext, aState.mLaterEraPeer, aState.mLaterEra);
+  // In a large zone most peers receive their own copies at this moment. With
+  // kPullInterval, each level of the tree would wait for that long.
+  aState.mNextPullAt = aContext.mNow + kFirstPullInterval;
 }
 
 void
