Remove missing entries only when a read after the grace period confirms it

The removal now waits for a read that was started after the period, 0.8 s at most, and the period is 2 s, so that entries that are not written again are still gone after 3 s.

KeepEntriesRemovedInAnOutageForAGracePeriod had no read after the period; it has one, and checks the removal 90 ms earlier. Two tests are added: of an entry that is written in time and read late, and of a removal that no read confirms.

--- a/src/FeedContent.cpp
+++ b/src/FeedContent.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/** How long the removal of an entry waits after its grace period for a read
+ * that confirms it. Reads of targets are 0.45 s apart; a node that gets none
+ * for longer than this has no list to compare with. */
+constexpr Duration kMaxConfirmationDelay = std::chrono::milliseconds(800);
+
 /** Removes an entry at once. */
 void
 RemoveEntry(KeyedFeedState& aState, TimePoint aNow, const std::string& aKey)
@@ -159,7 +164,11 @@
 {
   std::vector<std::string> expired;
   for (const auto& [key, until] : aState.mPendingRemovals) {
-    if (aNow >= until) {
+    // An entry that was written again within the period is known only from a
+    // read of after its end.
+    bool isConfirmed =
+      aState.mFreshAt >= until || aNow >= until + kMaxConfirmationDelay;
+    if (aNow >= until && isConfirmed) {
       expired.push_back(key);
     }
   }
--- a/src/FeedContent.h
+++ b/src/FeedContent.h
@@ -25,7 +25,8 @@
               const std::vector<FeedEntry>& aEntries,
               EntrySource aSource);
 
-/** Removes the entries whose grace period after an outage has passed. */
+/** Removes the entries whose grace period after an outage has passed, once a
+ * read of after its end has confirmed that they are missing. */
 void
 RemoveExpiredEntries(KeyedFeedState& aState, TimePoint aNow);
 
--- a/src/NodeFeeds.cpp
+++ b/src/NodeFeeds.cpp
@@ -49,7 +49,7 @@
   settings.mTopic = kTargetTopic;
   settings.mReadInterval = milliseconds(450);
   settings.mStaleAfter = milliseconds(1000);
-  settings.mOutageGracePeriod = milliseconds(2200);
+  settings.mOutageGracePeriod = milliseconds(2000);
   settings.mMaxRecentEntries = kMaxRecentTargetEntries;
   return settings;
 }
--- a/test/correctness/KeyedFeedsAreReplicated.cpp
+++ b/test/correctness/KeyedFeedsAreReplicated.cpp
@@ -138,11 +138,43 @@
             DeltaRead(4, { { "a", { 0, 2 }, "" }, { "b", { 0, 3 }, "" } }));
   LONGS_EQUAL(2, node.mFeed.mEntries.size());
   node.Read(back + milliseconds(900), DeltaRead(5, { { "b", { 0, 4 }, "B" } }));
+  node.Read(back + milliseconds(2210), DeltaRead(5, {}));
+  node.Tick(back + milliseconds(2210));
+  LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
+  LONGS_EQUAL(1, node.mFeed.mEntries.count("b"));
+}
+
+/** Guards against entries that were written in time and removed because the
+ * next read came after the grace period. */
+TEST(KeyedFeeds, KeepEntriesThatWereWrittenAgainSinceTheLastRead)
+{
+  FeedNode node;
+  node.Read(kStart,
+            FullRead(2, { { "a", { 0, 0 }, "A" }, { "b", { 0, 1 }, "B" } }));
+  TimePoint back = kStart + seconds(9);
+  node.Read(back,
+            DeltaRead(4, { { "a", { 0, 2 }, "" }, { "b", { 0, 3 }, "" } }));
+  node.Read(back + milliseconds(2100), DeltaRead(4, {}));
   node.Tick(back + milliseconds(2300));
+  LONGS_EQUAL(2, node.mFeed.mEntries.size());
+  node.Read(back + milliseconds(2560),
+            DeltaRead(5, { { "b", { 0, 4 }, "B" } }));
+  node.Tick(back + milliseconds(2560));
   LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
   LONGS_EQUAL(1, node.mFeed.mEntries.count("b"));
 }
 
+TEST(KeyedFeeds, DropRemovedEntriesIfNoReadConfirmsThem)
+{
+  FeedNode node;
+  node.Read(kStart,
+            FullRead(2, { { "a", { 0, 0 }, "A" }, { "b", { 0, 1 }, "B" } }));
+  TimePoint back = kStart + seconds(9);
+  node.Read(back, DeltaRead(4, { { "a", { 0, 2 }, "" } }));
+  node.Tick(back + milliseconds(3010));
+  LONGS_EQUAL(0, node.mFeed.mEntries.count("a"));
+}
+
 TEST(KeyedFeeds, AreReadInFullAfterRecordsWereTrimmed)
 {
   FeedNode node;
