Grant a declined target only after the newer list has been read

While the scheduler's zone is cut off from the store, proxies of other zones decline targets that leave by their newer list. It now waits until its list reaches the end of the list by which they were declined, 15 s at most; by then a leaving target has shut down.

--- a/src/NodeFeeds.cpp
+++ b/src/NodeFeeds.cpp
@@ -2,6 +2,7 @@
 
 #include "DocumentEntries.h"
 #include "EventNumbers.h"
+#include "SchedulerEvidence.h"
 
 #include <algorithm>
 #include <utility>
@@ -249,7 +250,7 @@
   }
   KeyedFeedState& targets = aState.mFeeds.at(kTargetTopic);
   for (auto& [name, scheduler] : aState.mSchedulers) {
-    scheduler.mTargetListEnd = targets.mEnd;
+    MoveTargetListEnd(scheduler, targets.mEnd);
   }
   bool isFirst = targets.mIsLoaded && !aState.mHasVms;
   if (targets.mVersion == aState.mSeenTargetsVersion && !isFirst) {
--- a/src/Scheduler.h
+++ b/src/Scheduler.h
@@ -133,6 +133,9 @@
   TargetPool mPool;
   /** The end of the target list that mPool was last updated from. */
   StorePosition mTargetListEnd{};
+  /** Targets that proxies with newer lists have declined, with the end of the
+   * newest of these lists. */
+  std::map<TargetId, StorePosition> mDeclinedAt;
   LeaseQueue mQueue;
   std::unordered_map<LeaseId, ActiveLease> mLeases;
   /** Leases by holder and request; a repeated request gets the same lease. */
--- a/src/SchedulerEvidence.cpp
+++ b/src/SchedulerEvidence.cpp
@@ -44,10 +44,13 @@
 constexpr double kMeanSmoothing = 0.02;
 /** A target that reports that it is draining shuts down within this time. */
 constexpr Duration kMaxDrainTime = seconds(15);
-/** How long a target is not granted after a proxy with a newer target list has
- * declined it: to all, until this scheduler has most likely read the newer list
- * itself, or is told again. */
+/** How long a target is not granted after a proxy whose target list is at least
+ * as new as this scheduler's has declined it. */
 constexpr Duration kDeclinedExclusionTime = seconds(2);
+/** The same while this scheduler has not read the newer list: nodes of its zone
+ * may not have it either, and accept the grant. A leaving target has shut down
+ * after this time. */
+constexpr Duration kMaxDeclinedExclusionTime = kMaxDrainTime;
 /** The same for the proxy alone, if its list is older: it receives the newer
  * one with the next push. */
 constexpr Duration kStaleListPause = std::chrono::milliseconds(500);
@@ -198,6 +201,11 @@
   if (Reaches(aHolderListEnd, aState.mTargetListEnd)) {
     target.mDrainingUntil =
       std::max(target.mDrainingUntil, aNow + kDeclinedExclusionTime);
+    if (aHolderListEnd != aState.mTargetListEnd) {
+      target.mDeclinedUntil = aNow + kMaxDeclinedExclusionTime;
+      StorePosition& end = aState.mDeclinedAt[aLease.mTarget];
+      end = std::max(end, aHolderListEnd);
+    }
   } else {
     TimePoint& until = target.mPausedFor[aLease.mHolder];
     until = std::max(until, aNow + kStaleListPause);
@@ -220,6 +228,23 @@
 
 } // namespace
 
+void
+MoveTargetListEnd(SchedulerState& aState, const StorePosition& aEnd)
+{
+  aState.mTargetListEnd = aEnd;
+  for (auto it = aState.mDeclinedAt.begin(); it != aState.mDeclinedAt.end();) {
+    if (aEnd < it->second) {
+      ++it;
+      continue;
+    }
+    auto target = aState.mPool.mTargets.find(it->first);
+    if (target != aState.mPool.mTargets.end()) {
+      target->second.mDeclinedUntil = {};
+    }
+    it = aState.mDeclinedAt.erase(it);
+  }
+}
+
 void
 CountRecentRequest(SchedulerState& aState, TimePoint aNow, bool aIsServed)
 {
--- a/src/SchedulerEvidence.h
+++ b/src/SchedulerEvidence.h
@@ -27,6 +27,12 @@
 void
 ScanLeases(SchedulerState& aState, TimePoint aNow, Effects& aEffects);
 
+/** Moves the end of the scheduler's target list. Targets that proxies with a
+ * newer list have declined may be granted again once the list reaches the end
+ * of theirs. */
+void
+MoveTargetListEnd(SchedulerState& aState, const StorePosition& aEnd);
+
 /** Adds a request to the decaying counts of served and unserved requests. */
 void
 CountRecentRequest(SchedulerState& aState, TimePoint aNow, bool aIsServed);
--- a/src/TargetPool.cpp
+++ b/src/TargetPool.cpp
@@ -213,7 +213,7 @@
 IsLeavingOrDraining(const PooledTarget& aTarget, TimePoint aNow)
 {
   return aTarget.mIsLeaving || aTarget.mStatesLeaving ||
-         aNow < aTarget.mDrainingUntil;
+         aNow < aTarget.mDrainingUntil || aNow < aTarget.mDeclinedUntil;
 }
 
 unsigned
--- a/src/TargetPool.h
+++ b/src/TargetPool.h
@@ -48,6 +48,9 @@
   /** End of the time without requests after the target reported that it is
    * draining. */
   TimePoint mDrainingUntil{};
+  /** End of the time without requests after proxies with a newer target list
+   * have declined the target, unless this scheduler reads that list before. */
+  TimePoint mDeclinedUntil{};
   /** When the target first appeared in the VM list. */
   TimePoint mFirstSeenAt{};
   /** The target first appeared after the scheduler had read a VM list, so that
