Don't bring back removed entries from a late answer of the store

A read of entries that was overtaken by pushes of a peer returned an entry that had been removed since. It was added again, and stayed, because the removal is before the end of the copy. Concerns entries without a writer order, or whose order is no longer known.

--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -101,13 +101,26 @@
          age >= aState.mSettings.mStaleAfter + takeoverDelay;
 }
 
+/** Returns whether a peer has moved the copy past the end of a read since it
+ * was started. The copy then has applied all that the answer contains, and the
+ * removals that the answer does not contain. */
+bool
+IsCoveredByCopy(const KeyedFeedState& aState, const FeedReadResult& aRead)
+{
+  return aState.mIsLoaded && !aState.mSettings.mHasWholeRecords &&
+         aState.mReadFrom < aState.mEnd && aRead.mEnd < aState.mEnd;
+}
+
 /** Applies the entries of a read and returns the changes to the copy. Entries
- * of a revision below the copy's are skipped. */
+ * of a revision below the copy's, and those before its end, are skipped. */
 std::vector<FeedEntry>
 ApplyRead(KeyedFeedState& aState,
           const FeedContext& aContext,
           const FeedReadResult& aRead)
 {
+  if (IsCoveredByCopy(aState, aRead)) {
+    return {};
+  }
   if (!aRead.mIsSnapshot) {
     return ApplyEntries(
       aState, aContext.mNow, aRead.mEntries, EntrySource::Store);
