--- a/test/correctness/RestoredStoresAreFollowed.cpp
+++ b/test/correctness/RestoredStoresAreFollowed.cpp
@@ -92,6 +92,7 @@
   node.Receive(kStart, EntryNode::Read(true, { 2, 5 }, {}));
   TimePoint freshAt = node.mFeed.mFreshAt;
   TimePoint now = kStart + std::chrono::seconds(1);
+  node.mFeed.mNeedsFullRead = true;
   node.Tick(now);
   node.Receive(now,
                EntryNode::Read(true, { 1, 20 }, { { "b", { 1, 11 }, "B" } }));
