--- a/test/correctness/RestoreRulesAreKept.cpp
+++ b/test/correctness/RestoreRulesAreKept.cpp
@@ -1,4 +1,4 @@
-#include "KeyedFeed.h"
+#include "../support/RestorationFleet.h"
 
 #include <CppUTest/TestHarness.h>
 
