Let a drill fail if nodes serve nothing after a worker's leaving

The check counted requests that reached the worker that had left, and passed if no request was served at all. Each node must now serve by the other worker; found in review.

--- a/test/support/drill.py
+++ b/test/support/drill.py
@@ -325,9 +325,13 @@
         left = time.monotonic()
         self.checks.note("the worker's leaving is acknowledged")
         end = left + LEAVING_BOUND_S + 2 + options.late_answers
+        served = set()
         while time.monotonic() < end:
             for node in self.nodes:
-                get(node, "/v1/x")
+                if get(node, "/v1/x")[0] == 200 and time.monotonic() > left + LEAVING_BOUND_S:
+                    served.add(node)
+        if len(served) < len(self.nodes):
+            self.checks.fail(f"only {len(served)} nodes serve requests after the leaving")
         late = [it - left for it in leaving.server.reached if it > left + LEAVING_BOUND_S]
         if late:
             self.checks.fail(
