--- a/src/FeedExchange.cpp
+++ b/src/FeedExchange.cpp
@@ -61,14 +61,16 @@
 }
 
 /** Returns whether a copy of an earlier era has a later revision than this
- * node's: one that was served and that the restored store has lost. */
+ * node's: one that was served and that the restored store has lost. A build
+ * without eras may have read it from the restored store as well. */
 bool
 HasLostRevision(const KeyedFeedState& aState,
                 const StorePosition& aEnd,
                 std::uint64_t aRevision)
 {
   return aState.mIsLoaded && aState.mSettings.mHasWholeRecords &&
-         aEnd.mEra < aState.mEnd.mEra && aRevision > aState.mRevision;
+         aEnd.mEra > 0 && aEnd.mEra < aState.mEnd.mEra &&
+         aRevision > aState.mRevision;
 }
 
 /** Sends a push to the node that has sent an older revision, so that it
