--- a/review/standin-2/lab.py
+++ b/review/standin-2/lab.py
@@ -480,7 +480,8 @@
             raise CannotRun("no build of the deploy file: %s is missing" % "target/vanillascaled")
         # All nodes of a day have the same peer port. On one loopback address each needs
         # its own, so every node takes a loopback address of its own for peers.
-        ports = [free_ports(4) for _ in range(count)]
+        numbers = free_ports(4 * count)
+        ports = [numbers[4 * i : 4 * i + 4] for i in range(count)]
         peer = ports[0][1]
         for i, it in enumerate(ports):
             it[1] = peer
