Report how many nodes of the fleet a node sees

Cause: nothing tells an operator that a fleet is in parts. Hypotheses about the members could not be told apart from logs.

Change: event 406, MembersChanged, and three gauges: live members, members that stopped answering without announcing that they leave, and seeds that are not live. At most one line a second.

--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -46,6 +46,7 @@
   { kEventFallbackLeft, "FallbackLeft" },
   { kEventSchedulerPassedOver, "SchedulerPassedOver" },
   { kEventQuotaShareOnly, "QuotaShareOnly" },
+  { kEventMembersChanged, "MembersChanged" },
   { kEventTargetEjected, "TargetEjected" },
   { kEventTrialStarted, "TrialStarted" },
   { kEventTrialFailed, "TrialFailed" },
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -42,6 +42,7 @@
 constexpr int kEventFallbackLeft = 403;
 constexpr int kEventSchedulerPassedOver = 404;
 constexpr int kEventQuotaShareOnly = 405;
+constexpr int kEventMembersChanged = 406;
 
 constexpr int kEventTargetEjected = 500;
 constexpr int kEventTrialStarted = 501;
--- a/src/MemberUpdates.cpp
+++ b/src/MemberUpdates.cpp
@@ -101,6 +101,9 @@
   Member& member = aState.mMembers[aNode];
   bool wasEligible = IsEligibleForDuties(member);
   bool isShareChanged = member.mCorePercent != aUpdate.mCorePercent;
+  bool isSameProcess = member.mIncarnation == aUpdate.mIncarnation;
+  member.mHasLeft = aUpdate.mStatus == MemberStatus::Leaving ||
+                    (member.mHasLeft && isSameProcess);
   member.mIsJoinUpdate =
     member.mIncarnation == 0 && aUpdate.mStatus == MemberStatus::Alive;
   member.mZone = aUpdate.mZone;
--- a/src/Membership.h
+++ b/src/Membership.h
@@ -24,6 +24,8 @@
   unsigned mTransmissionsLeft = 0;
   /** The latest update is the member's first one and reports it as alive. */
   bool mIsJoinUpdate = true;
+  /** The process announced that it leaves, whether or not it is dead by now. */
+  bool mHasLeft = false;
   /** The highest configuration offset that the member itself has reported. */
   LogOffset mConfigOffset = 0;
 };
@@ -46,6 +48,19 @@
   TimePoint mSentAt{};
 };
 
+/** The numbers of nodes in a view of the fleet. */
+struct MemberCounts
+{
+  /** Nodes that are eligible for duties; see LiveMembers(). */
+  std::size_t mLive = 0;
+  /** Nodes that stopped answering without announcing that they leave. */
+  std::size_t mUnreachable = 0;
+  /** Seeds other than this node. */
+  std::size_t mSeeds = 0;
+  /** Seeds other than this node that are not live members. */
+  std::size_t mUnreachableSeeds = 0;
+};
+
 /** One node's view of the fleet, kept by a gossip protocol in the manner of
  * SWIM. Each node probes one member per interval, first directly and then
  * through other members, and piggybacks membership updates on the probes, so
@@ -58,6 +73,8 @@
 {
   NodeId mSelf;
   ZoneName mZone;
+  /** The nodes that this node contacts first. */
+  std::vector<NodeId> mSeeds;
   std::uint64_t mIncarnation = 0;
   /** CPU share of this VM, in percent of a core. */
   unsigned mCorePercent = 0;
@@ -88,6 +105,10 @@
   /** Incremented whenever the result of LiveMembers, or the order of the
    * candidates for a duty, may have changed. */
   std::uint64_t mVersion = 1;
+  /** The counts of the last MembersChanged event, and when the next event may
+   * be written. */
+  MemberCounts mReportedCounts;
+  TimePoint mNextReportAt{};
 
   /** Returns the view of a node that knows no other member. */
   static MembershipState Make(NodeId aSelf,
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "Duties.h"
 #include "EventNumbers.h"
+#include "MemberReport.h"
 #include "NodeFeeds.h"
 #include "NodeShutdown.h"
 #include "ProxyHedges.h"
@@ -356,6 +357,7 @@
   void operator()(const Tick&)
   {
     MembershipTick(mState.mMembers, mNow, mState.mRandom, mEffects);
+    ReportMembers(mState.mMembers, mNow, mEffects);
     PollPlatform();
     TickSchedulers(mState, mNow, mEffects);
     for (auto& [stream, writer] : mState.mIntentWriters) {
@@ -480,6 +482,7 @@
     vm.mAddress = it.mValue;
     seeds.push_back(std::move(vm));
   }
+  state.mMembers.mSeeds = aOptions.mSeeds;
   SeedMembers(state.mMembers, aNow, seeds);
   if (aOptions.mSource == ConfigSource::KeyedFeeds) {
     state.mFeeds = MakeFeeds(aOptions, aNow, state.mRandom);
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -1,5 +1,6 @@
 #include "NodeReport.h"
 
+#include "MemberReport.h"
 #include "ProxyVerdicts.h"
 
 #include <algorithm>
@@ -414,6 +415,23 @@
   }
 }
 
+void
+AddMemberMetrics(prometheus::Registry& aRegistry, const MemberCounts& aCounts)
+{
+  auto add = [&](const char* aName, const char* aHelp, std::size_t aValue) {
+    AddGauge(aRegistry, aName, aHelp, static_cast<double>(aValue));
+  };
+  add("vanillascale_members",
+      "Live members in the membership view of this node",
+      aCounts.mLive);
+  add("vanillascale_members_unreachable",
+      "Members that stopped answering without announcing that they leave",
+      aCounts.mUnreachable);
+  add("vanillascale_seeds_unreachable",
+      "Seeds that are not live members",
+      aCounts.mUnreachableSeeds);
+}
+
 const char*
 MemberStatusName(MemberStatus aStatus)
 {
@@ -456,10 +474,7 @@
            "vanillascale_config_offset",
            "Offset of the configuration in force",
            static_cast<double>(ConfigPosition(aState.mConfig.mConfig).mOffset));
-  AddGauge(registry,
-           "vanillascale_members",
-           "Live members in the membership view of this node",
-           static_cast<double>(LiveMembers(aState.mMembers).size()));
+  AddMemberMetrics(registry, CountMembers(aState.mMembers));
   auto add = [&](const char* aName, const char* aHelp, std::uint64_t aValue) {
     AddCounter(registry, aName, aHelp, static_cast<double>(aValue));
   };
