Name a node in the store by which parts of the fleet meet

Cause: the seeds are the only addresses that a starting node knows. It has no disk, and no second way to learn of another node.

Change: a contact record in a keyed topic of our own names one node (ContactRecord, StoreContact). Nodes read it in turn, ping the node that it names, and replace it by a conditional append if that node does not answer. One read in 16 s for the whole fleet; no state of the fleet is in it.

Why it works: all nodes reach the store, the append lets one of many writers win, and the others find that one with the next read.

MembersAreReported takes the store away in the case of a node that is alone: it would meet the other one now.

--- a/src/Effects.h
+++ b/src/Effects.h
@@ -104,6 +104,18 @@
   Duration mWait{ 0 };
 };
 
+/** Reads the contact record of the platform's store; see ContactRecord.h. */
+struct ReadContact
+{};
+
+/** Writes the contact record unless it has been written since it was read. */
+struct WriteContact
+{
+  NodeId mContact;
+  /** ContactReadResult::mEnd of the last read. */
+  LogOffset mExpectedEnd = 0;
+};
+
 /** Writes an event to the event log. docs/EVENTS.md lists the numbers. */
 struct WriteEvent
 {
@@ -126,7 +138,9 @@
                             ReadVmList,
                             WriteEvent,
                             Stop,
-                            ReadFeed>;
+                            ReadFeed,
+                            ReadContact,
+                            WriteContact>;
 
 /** Effects in the order in which they must be executed. */
 using Effects = std::vector<Effect>;
--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -47,6 +47,7 @@
   { kEventSchedulerPassedOver, "SchedulerPassedOver" },
   { kEventQuotaShareOnly, "QuotaShareOnly" },
   { kEventMembersChanged, "MembersChanged" },
+  { kEventContactRecord, "ContactRecord" },
   { kEventTargetEjected, "TargetEjected" },
   { kEventTrialStarted, "TrialStarted" },
   { kEventTrialFailed, "TrialFailed" },
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -43,6 +43,7 @@
 constexpr int kEventSchedulerPassedOver = 404;
 constexpr int kEventQuotaShareOnly = 405;
 constexpr int kEventMembersChanged = 406;
+constexpr int kEventContactRecord = 407;
 
 constexpr int kEventTargetEjected = 500;
 constexpr int kEventTrialStarted = 501;
--- a/src/Node.cpp
+++ b/src/Node.cpp
@@ -413,6 +413,18 @@
     ApplyVmList(mState, mNow, aEvent.mVms);
   }
 
+  void operator()(const ContactReadResult& aEvent)
+  {
+    ContactRecordReceive(
+      mState.mContactRecord, mState.mMembers, mNow, aEvent, mEffects);
+  }
+
+  void operator()(const ContactWriteResult& aEvent)
+  {
+    ContactRecordReceive(
+      mState.mContactRecord, mState.mMembers, aEvent, mEffects);
+  }
+
   void operator()(const FeedReadResult& aEvent)
   {
     auto it = mState.mFeeds.find(aEvent.mTopic);
@@ -442,6 +454,8 @@
         FeedTick(feed, MakeFeedContext(mState, mNow, mEffects));
       }
       ApplyFeedChanges(mState, mNow, mEffects);
+      ContactRecordTick(
+        mState.mContactRecord, mState.mMembers, mNow, mState.mRandom, mEffects);
       return;
     }
     ConfigTick(mState.mConfig, MakeConfigContext(mState, mNow, mEffects));
--- a/src/Node.h
+++ b/src/Node.h
@@ -2,6 +2,7 @@
 #define VANILLASCALE_NODE_H
 
 #include "ConfigReader.h"
+#include "ContactRecord.h"
 #include "IntentWriter.h"
 #include "KeyedFeed.h"
 #include "Membership.h"
@@ -68,6 +69,8 @@
   std::map<std::string, IntentWriterState> mIntentWriters;
   /** By topic; empty if the source is ChangeStream. */
   std::map<std::string, KeyedFeedState> mFeeds;
+  /** Used if the source is KeyedFeeds. */
+  ContactRecordState mContactRecord;
   std::uint64_t mSeenDocumentsVersion = 0;
   std::uint64_t mSeenTargetsVersion = 0;
   /** By the keys of the target topic or, if the source is ChangeStream, by
--- a/src/NodeEvents.h
+++ b/src/NodeEvents.h
@@ -174,6 +174,31 @@
   std::vector<FeedEntry> mEntries;
 };
 
+/** Result of a ReadContact effect. */
+struct ContactReadResult
+{
+  bool mIsSuccessful = false;
+  /** Empty if there is no record, or none that can be read. */
+  NodeId mContact;
+  /** Changes with each write of the record. */
+  LogOffset mEnd = 0;
+};
+
+enum class ContactWriteOutcome
+{
+  Done,
+  /** The record has been written since it was read. */
+  Outdated,
+  /** The write was refused, or its outcome is not known. */
+  Failed
+};
+
+/** Result of a WriteContact effect. */
+struct ContactWriteResult
+{
+  ContactWriteOutcome mOutcome = ContactWriteOutcome::Failed;
+};
+
 /** The process was asked to shut down. */
 struct ShutdownRequested
 {};
@@ -188,7 +213,9 @@
                            LogReadResult,
                            VmListReadResult,
                            ShutdownRequested,
-                           FeedReadResult>;
+                           FeedReadResult,
+                           ContactReadResult,
+                           ContactWriteResult>;
 
 } // namespace vanillascale
 
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -271,9 +271,9 @@
            "vanillascale_loop_lag_max_seconds",
            "Longest delay of the event loop behind a due timer",
            std::chrono::duration<double>(aRuntime.mMaxTimerLag).count());
-  static const char* const sKinds[] = {
-    "append_log", "read_log", "read_vm_list", "read_feed"
-  };
+  static const char* const sKinds[] = { "append_log",   "read_log",
+                                        "read_vm_list", "read_feed",
+                                        "read_contact", "write_contact" };
   for (std::size_t i = 0; i < aRuntime.mPlatformCalls.size(); ++i) {
     AddCounter(aRegistry,
                "vanillascale_platform_calls_total",
--- a/src/NodeReport.h
+++ b/src/NodeReport.h
@@ -20,7 +20,7 @@
   std::uint64_t mWrittenLogLines = 0;
   std::uint64_t mDroppedLogLines = 0;
   /** Calls to the platform, indexed by the alternative of PlatformCall. */
-  std::array<std::uint64_t, 4> mPlatformCalls{};
+  std::array<std::uint64_t, 6> mPlatformCalls{};
   /** The budget of the process, in bytes. */
   std::size_t mBudgetBytes = 0;
   std::size_t mHeldBytes = 0;
--- a/src/NodeRuntime.cpp
+++ b/src/NodeRuntime.cpp
@@ -197,6 +197,8 @@
   void Run(ReadLog& aEffect) { CallPlatform(std::move(aEffect)); }
   void Run(ReadVmList& aEffect) { CallPlatform(aEffect); }
   void Run(ReadFeed& aEffect) { CallPlatform(std::move(aEffect)); }
+  void Run(ReadContact& aEffect) { CallPlatform(aEffect); }
+  void Run(WriteContact& aEffect) { CallPlatform(std::move(aEffect)); }
   void Run(WriteEvent& aEffect) { mLog.Write(Now(), aEffect); }
   void Run(Stop& /*aEffect*/)
   {
--- a/src/PlatformClient.cpp
+++ b/src/PlatformClient.cpp
@@ -109,6 +109,15 @@
     failed.mTopic = aCall.mTopic;
     mPost(failed);
   }
+  // The VM list introduces the nodes to each other here.
+  void operator()(const ReadContact& /*aCall*/) const
+  {
+    mPost(ContactReadResult{});
+  }
+  void operator()(const WriteContact& /*aCall*/) const
+  {
+    mPost(ContactWriteResult{});
+  }
 };
 
 } // namespace
--- a/src/PlatformPort.h
+++ b/src/PlatformPort.h
@@ -12,7 +12,8 @@
 namespace vanillascale {
 
 /** What the core asks of the platform. */
-using PlatformCall = std::variant<AppendLog, ReadLog, ReadVmList, ReadFeed>;
+using PlatformCall = std::
+  variant<AppendLog, ReadLog, ReadVmList, ReadFeed, ReadContact, WriteContact>;
 
 /** Makes calls to a platform; each ends in one event. */
 struct PlatformPort
--- a/test/correctness/MembersAreReported.cpp
+++ b/test/correctness/MembersAreReported.cpp
@@ -70,6 +70,7 @@
 TEST(MemberReport, ANodeWithoutSeedsReportsThatItIsAlone)
 {
   LoggedFleet fleet(4, ConfigSource::KeyedFeeds);
+  fleet.mFleet.mContacts.mIsAvailable = false;
   fleet.mFleet.KillNode(0);
   fleet.mFleet.KillNode(1);
   fleet.mFleet.RunFor(seconds(5));
--- a/test/correctness/SeparatedNodesMeet.cpp
+++ b/test/correctness/SeparatedNodesMeet.cpp
@@ -198,3 +198,74 @@
   fleet.RunFor(seconds(30));
   LONGS_EQUAL(0, messages);
 }
+
+TEST(SeparatedNodes, NodesWhoseSeedsNeverReturnMeet)
+{
+  for (std::size_t n : FleetSizes()) {
+    // The record is missing, or names a node that is gone as well.
+    for (const NodeId& contact : { NodeId(), NodeId(FakeFleet::NodeName(0)) }) {
+      FakeFleet fleet(n, 3, TestSeeds(1).front(), ConfigSource::KeyedFeeds);
+      fleet.RunFor(seconds(4));
+      KillAll(fleet);
+      fleet.mContacts.mContact = contact;
+      fleet.RunFor(milliseconds(500));
+      StartNodes(fleet, 2, n);
+      CheckAllMeet(fleet, seconds(10));
+    }
+  }
+}
+
+TEST(SeparatedNodes, PartsWithOtherSeedsMeet)
+{
+  for (std::size_t n : { 12, 40 }) {
+    FakeFleet parts(n, 3, TestSeeds(1).front(), ConfigSource::KeyedFeeds);
+    KillAll(parts);
+    parts.mSeedsOf = [](std::size_t aNode) {
+      return aNode % 2 == 0 ? std::vector<std::size_t>{ 0, 2 }
+                            : std::vector<std::size_t>{ 1, 3 };
+    };
+    StartNodes(parts, 0, n);
+    CheckAllMeet(parts, seconds(60));
+  }
+}
+
+TEST(SeparatedNodes, NodesMeetOnceTheStoreAnswersAgain)
+{
+  FakeFleet fleet(12, 3, TestSeeds(1).front(), ConfigSource::KeyedFeeds);
+  KillAll(fleet);
+  fleet.mContacts.mIsAvailable = false;
+  StartNodes(fleet, 2, 12);
+  fleet.RunFor(seconds(120));
+  CHECK(!HaveAllMet(fleet));
+  fleet.mContacts.mIsAvailable = true;
+  CheckAllMeet(fleet, seconds(100));
+}
+
+TEST(SeparatedNodes, CallsForTheContactRecordDoNotGrowWithTheFleet)
+{
+  for (std::size_t n : { 12, 40 }) {
+    FakeFleet fleet(n, 3, TestSeeds(1).front(), ConfigSource::KeyedFeeds);
+    fleet.RunFor(seconds(60));
+    FakeContacts before = fleet.mContacts;
+    fleet.RunFor(seconds(320));
+    // One read in 16 s on average.
+    CHECK(fleet.mContacts.mReads - before.mReads <= 40);
+    CHECK(fleet.mContacts.mReads - before.mReads >= 8);
+    CHECK(fleet.mContacts.mWrites - before.mWrites == 0);
+  }
+}
+
+TEST(SeparatedNodes, LoneNodesCallTheStoreRarely)
+{
+  constexpr std::uint64_t kLone = 38;
+  FakeFleet fleet(40, 3, TestSeeds(1).front(), ConfigSource::KeyedFeeds);
+  KillAll(fleet);
+  fleet.mIsLost = [](std::size_t, std::size_t, const Message&) { return true; };
+  StartNodes(fleet, 2, 40);
+  fleet.RunFor(seconds(40));
+  FakeContacts before = fleet.mContacts;
+  fleet.RunFor(seconds(160));
+  // Each node reads once in 16 s on average, and writes after it.
+  CHECK(fleet.mContacts.mReads - before.mReads <= 15 * kLone);
+  CHECK(fleet.mContacts.mWrites - before.mWrites <= 15 * kLone);
+}
--- a/test/support/FakeFleet.h
+++ b/test/support/FakeFleet.h
@@ -233,6 +233,7 @@
   std::vector<std::unique_ptr<FakeNode>> mNodes;
   std::map<TargetId, std::unique_ptr<FakeTarget>> mTargets;
   FakeLog mLog;
+  FakeContacts mContacts;
   std::vector<Vm> mVms;
 
 private:
@@ -443,6 +444,27 @@
   {
     PostAfter(aFrom, mLog.mDelay, VmListReadResult{ true, mVms });
   }
+  void Run(std::size_t aFrom, ReadContact&)
+  {
+    ++mContacts.mReads;
+    ContactReadResult read{ mContacts.mIsAvailable,
+                            mContacts.mContact,
+                            mContacts.mEnd };
+    PostAfter(aFrom, mLog.mDelay, read);
+  }
+  void Run(std::size_t aFrom, WriteContact& aEffect)
+  {
+    ++mContacts.mWrites;
+    ContactWriteResult written;
+    if (mContacts.mIsAvailable) {
+      bool isCurrent = aEffect.mExpectedEnd == mContacts.mEnd;
+      written.mOutcome =
+        isCurrent ? ContactWriteOutcome::Done : ContactWriteOutcome::Outdated;
+      mContacts.mContact = isCurrent ? aEffect.mContact : mContacts.mContact;
+      mContacts.mEnd += isCurrent ? 1 : 0;
+    }
+    PostAfter(aFrom, mLog.mDelay, written);
+  }
   void Run(std::size_t aFrom, WriteEvent& aEffect) { mOnEvent(aFrom, aEffect); }
   /** Ends the process; its open requests are aborted. */
   void Run(std::size_t aFrom, Stop&)
--- a/test/support/Fakes.h
+++ b/test/support/Fakes.h
@@ -258,6 +258,16 @@
   }
 };
 
+/** The contact record of the platform's store. */
+struct FakeContacts
+{
+  bool mIsAvailable = true;
+  NodeId mContact;
+  LogOffset mEnd = 0;
+  std::uint64_t mReads = 0;
+  std::uint64_t mWrites = 0;
+};
+
 } // namespace vanillascale::fake
 
 #endif
