Put acknowledged configurations in force entry by entry

Cause: the store's adapter applied the check of our own documents to what the store had acknowledged, and dropped the whole record at the first fault. The check answers whether a document is a good one of ours; the adapter asked whether a node can serve it.

Change: TranslateConfig (StoreConfig) translates each entry by itself, holds a value that a node cannot use at a bound or its default, and leaves out an entry that does not tell what it stands for; EntryAdjusted (307) and a gauge report both. Bounds that protect the process are where the value is used. The same for workers' entries (capacity above 10,000, long warm-ups) and for keys of callers beyond 4,096 bytes. vanillascale check asks both questions, as before.

--- a/daemons/CheckCommand.cpp
+++ b/daemons/CheckCommand.cpp
@@ -5,7 +5,7 @@
 #include "DocumentFile.h"
 #include "ReviewReport.h"
 #include "StoreAdapter.h"
-#include "StoreFormat.h"
+#include "StoreConfig.h"
 #include "StoreSnapshot.h"
 
 #include <algorithm>
@@ -95,11 +95,16 @@
     return tl::make_unexpected(std::vector<DocumentFault>{
       { kStorePlace, "can't be translated; nodes skip the configuration" } });
   }
-  auto translatedFaults = CheckDocument(*translated);
+  // Nodes put such a configuration in force with adjustments; whoever writes it
+  // learns of them first.
+  auto translatedFaults = std::move(translated->mAdjustments);
+  for (DocumentFault& it : CheckDocument(translated->mDocument)) {
+    translatedFaults.push_back(std::move(it));
+  }
   if (!translatedFaults.empty()) {
     return tl::make_unexpected(std::move(translatedFaults));
   }
-  return FileContent{ std::move(*translated), true };
+  return FileContent{ std::move(translated->mDocument), true };
 }
 
 void
--- a/src/Dialects.cpp
+++ b/src/Dialects.cpp
@@ -1,6 +1,5 @@
 #include "Dialects.h"
 
-#include "DocumentLimits.h"
 #include "Hash.h"
 #include "ProxyVerdicts.h"
 
@@ -60,7 +59,7 @@
     }
   }
   bool isBearer =
-    value && value->size() <= kBearer.size() + kMaxApiKeyBytes &&
+    value &&
     IsSameName(std::string_view(*value).substr(0, kBearer.size()), kBearer);
   return isBearer ? value->substr(kBearer.size()) : "";
 }
--- a/src/EventNumbers.cpp
+++ b/src/EventNumbers.cpp
@@ -40,6 +40,7 @@
   { kEventRecordSkipped, "RecordSkipped" },
   { kEventOutdatedEntries, "OutdatedEntries" },
   { kEventContentDiffers, "ContentDiffers" },
+  { kEventEntryAdjusted, "EntryAdjusted" },
   { kEventSchedulerStarted, "SchedulerStarted" },
   { kEventSchedulerEnded, "SchedulerEnded" },
   { kEventFallbackEntered, "FallbackEntered" },
--- a/src/EventNumbers.h
+++ b/src/EventNumbers.h
@@ -35,6 +35,7 @@
 constexpr int kEventRecordSkipped = 304;
 constexpr int kEventOutdatedEntries = 305;
 constexpr int kEventContentDiffers = 306;
+constexpr int kEventEntryAdjusted = 307;
 
 constexpr int kEventSchedulerStarted = 400;
 constexpr int kEventSchedulerEnded = 401;
--- a/src/HttpParser.cpp
+++ b/src/HttpParser.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <limits>
 #include <optional>
 #include <stdexcept>
 
@@ -23,6 +24,14 @@
 /** The shortest rest of a chunked body: a last chunk of "0" and an empty line.
  */
 constexpr std::size_t kLeastChunkedBytes = 5;
+
+/** Returns the limit on a head in the parser's type. */
+std::uint32_t
+HeadLimit(const HttpLimits& aLimits)
+{
+  constexpr std::size_t kMax = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(aLimits.mHeadBytes, kMax));
+}
 /** Bytes of a body that are parsed at once, so that its memory is asked for in
  * time. Heads of chunks and trailers have to fit in. */
 constexpr std::size_t kPieceBytes = 16UL * 1024;
@@ -306,7 +315,7 @@
   auto impl = std::make_unique<Impl>(aLimits, std::move(aBudget));
   // Stops behind the head, so that trailers can be told from its fields.
   impl->mParser.eager(false);
-  impl->mParser.header_limit(static_cast<std::uint32_t>(aLimits.mHeadBytes));
+  impl->mParser.header_limit(HeadLimit(aLimits));
   impl->mParser.body_limit(aLimits.mBodyBytes);
   return std::unique_ptr<RequestParser>(new RequestParser(std::move(impl)));
 }
@@ -400,7 +409,7 @@
     mParser.emplace();
     // Stops behind the head, which is checked before the body is read.
     mParser->eager(false);
-    mParser->header_limit(static_cast<std::uint32_t>(mLimits.mHeadBytes));
+    mParser->header_limit(HeadLimit(mLimits));
     mParser->body_limit(mLimits.mBodyBytes);
     mParser->skip(mIsToHead);
     mProgress = HttpProgress::Incomplete;
--- a/src/KeyedFeed.cpp
+++ b/src/KeyedFeed.cpp
@@ -16,6 +16,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::size_t kMaxReportedAdjustments = 20;
+
 /** The delay after a failed read of a node without a rank of its own: it would
  * receive a push if the ranked ones could read, and together these nodes would
  * press a store that is down with the more calls the larger the fleet is. */
@@ -232,6 +234,26 @@
   return !isUsable;
 }
 
+/** Writes the first adjustments of the record that a read brought. */
+void
+RecordAdjustments(KeyedFeedState& aState,
+                  const FeedContext& aContext,
+                  const FeedReadResult& aRead)
+{
+  if (aRead.mIsSnapshot) {
+    aState.mAdjustedEntries = aRead.mAdjustments.size();
+  }
+  std::size_t n = std::min(aRead.mAdjustments.size(), kMaxReportedAdjustments);
+  for (std::size_t i = 0; i < n; ++i) {
+    aContext.mEffects.push_back(
+      WriteEvent{ kEventEntryAdjusted,
+                  "topic=" + aState.mSettings.mTopic +
+                    " revision=" + std::to_string(aRead.mRevision) +
+                    " entries=" + std::to_string(aRead.mAdjustments.size()) +
+                    " " + aRead.mAdjustments[i] });
+  }
+}
+
 } // namespace
 
 KeyedFeedState
@@ -294,6 +316,7 @@
       return;
     }
   }
+  RecordAdjustments(aState, aContext, aRead);
   StorePosition after = aState.mEnd;
   DeferRemovalsInNewEra(aState, aContext.mNow, aRead.mEnd);
   // Records that the read left out may be older than its start.
--- a/src/KeyedFeed.h
+++ b/src/KeyedFeed.h
@@ -124,6 +124,9 @@
   /** The number of entries that were skipped because their writer had written a
    * later one, and the key of the last of them. */
   std::uint64_t mOutdatedEntries = 0;
+  /** What was left out of the last record that this node read, or held at a
+   * bound. */
+  std::size_t mAdjustedEntries = 0;
   std::string mOutdatedKey;
   /** When the end of the store's last outage, or its last restore, was
    * detected.
--- a/src/NodeEvents.h
+++ b/src/NodeEvents.h
@@ -171,6 +171,9 @@
   std::uint64_t mRevision = 0;
   /** Why the newest record was skipped; empty if it was not. */
   std::string mFault;
+  /** What the adapter has left out of the newest record or holds at a bound;
+   * the text of an event each. */
+  std::vector<std::string> mAdjustments;
   std::vector<FeedEntry> mEntries;
 };
 
--- a/src/NodeReport.cpp
+++ b/src/NodeReport.cpp
@@ -310,6 +310,12 @@
              "later ones of the same writer",
              static_cast<double>(aFeed.mOutdatedEntries),
              labels);
+  AddGauge(aRegistry,
+           "vanillascale_feed_adjusted_entries",
+           "Entries left out of the last record read, and values held at a "
+           "bound",
+           static_cast<double>(aFeed.mAdjustedEntries),
+           labels);
   AddGauge(aRegistry,
            "vanillascale_feed_era",
            "Era of the platform's store that the local copy of a topic follows",
--- a/test/correctness/ContactRecordIsTranslated.cpp
+++ b/test/correctness/ContactRecordIsTranslated.cpp
@@ -1,5 +1,5 @@
-// Guards against a contact record that the store or another node cannot read, and
-// against records of other writers that are taken for a node.
+// Guards against a contact record that the store or another node cannot read,
+// and against records of other writers that are taken for a node.
 
 #include "StoreFormat.h"
 
